--- /dev/null
+++ b/endivestage/daemon/http_server.cpp
@@ -0,0 +1,377 @@
+#include <endivestage/daemon/http_server.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <exception>
+#include <utility>
+
+namespace endivestage
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace
+{
+
+std::error_code convert(const boost::system::error_code& ec)
+{
+    return ec ? make_error_code(errc::cancelled) : std::error_code{};
+}
+
+std::string error_body(errc code)
+{
+    return "{\"error\":{\"code\":\"" + std::string(to_string(code)) +
+           "\",\"execution\":\"not_run\"}}\n";
+}
+
+using connection_stream = beast::tcp_stream;
+
+class connection_writer final : public response_writer,
+                                public std::enable_shared_from_this<connection_writer>
+{
+public:
+    connection_writer(connection_stream& stream, millis write_timeout, bool keep_alive)
+        : stream_(stream),
+          write_timeout_(write_timeout),
+          keep_alive_(keep_alive)
+    {
+    }
+
+    awaitable<std::error_code> send(http_response response) override
+    {
+        stop_watching();
+        http::response<http::string_body> message;
+        fill(message, response);
+        message.body() = std::move(response.body);
+        message.prepare_payload();
+        boost::system::error_code ec;
+        stream_.expires_after(std::chrono::milliseconds(write_timeout_.count));
+        co_await http::async_write(stream_, message, asio::redirect_error(asio::use_awaitable, ec));
+        complete_ = !ec;
+        co_return convert(ec);
+    }
+
+    awaitable<std::error_code> begin(http_response head) override
+    {
+        http::response<http::empty_body> message;
+        fill(message, head);
+        message.chunked(true);
+        http::response_serializer<http::empty_body> serializer(message);
+        boost::system::error_code ec;
+        stream_.expires_after(std::chrono::milliseconds(write_timeout_.count));
+        co_await http::async_write_header(stream_, serializer,
+                                          asio::redirect_error(asio::use_awaitable, ec));
+        co_return convert(ec);
+    }
+
+    awaitable<std::error_code> write(std::string_view chunk) override
+    {
+        boost::system::error_code ec;
+        stream_.expires_after(std::chrono::milliseconds(write_timeout_.count));
+        co_await asio::async_write(stream_,
+                                   http::make_chunk(asio::buffer(chunk.data(), chunk.size())),
+                                   asio::redirect_error(asio::use_awaitable, ec));
+        co_return convert(ec);
+    }
+
+    awaitable<std::error_code> end() override
+    {
+        stop_watching();
+        boost::system::error_code ec;
+        stream_.expires_after(std::chrono::milliseconds(write_timeout_.count));
+        co_await asio::async_write(stream_, http::make_chunk_last(),
+                                   asio::redirect_error(asio::use_awaitable, ec));
+        complete_ = !ec;
+        co_return convert(ec);
+    }
+
+    void abort() override
+    {
+        stop_watching();
+        boost::system::error_code ec;
+        stream_.socket().close(ec);
+    }
+
+    void on_caller_left(std::function<void()> callback) override
+    {
+        caller_left_ = std::move(callback);
+        watch();
+    }
+
+    bool may_reuse() const { return complete_ && keep_alive_; }
+
+    void stop_watching() { caller_left_ = nullptr; }
+
+private:
+    template <class Message>
+    void fill(Message& message, const http_response& response) const
+    {
+        message.version(11);
+        message.result(static_cast<unsigned>(response.status));
+        for (const std::pair<std::string, std::string>& field : response.fields)
+        {
+            message.set(field.first, field.second);
+        }
+        message.keep_alive(keep_alive_);
+    }
+
+    // A caller that closes its connection makes the socket readable with no bytes to read.
+    void watch()
+    {
+        std::shared_ptr<connection_writer> self = shared_from_this();
+        stream_.socket().async_wait(tcp::socket::wait_read,
+                                    [self](const boost::system::error_code& ec)
+                                    {
+                                        if (!self->caller_left_)
+                                        {
+                                            return;
+                                        }
+                                        if (ec || self->at_end())
+                                        {
+                                            std::exchange(self->caller_left_, nullptr)();
+                                        }
+                                    });
+    }
+
+    bool at_end()
+    {
+        char byte = 0;
+        boost::system::error_code ec;
+        stream_.socket().non_blocking(true, ec);
+        const std::size_t n =
+            stream_.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+        return n == 0 && ec != asio::error::would_block;
+    }
+
+    connection_stream& stream_;
+    millis write_timeout_;
+    bool keep_alive_;
+    bool complete_ = false;
+    std::function<void()> caller_left_;
+};
+
+} // namespace
+
+struct http_server::state : std::enable_shared_from_this<http_server::state>
+{
+    state(asio::io_context& c, http_limits l, http_handler h)
+        : context(c),
+          limits(l),
+          handler(std::move(h)),
+          acceptor(asio::make_strand(c))
+    {
+    }
+
+    void accept();
+    static awaitable<void> serve(std::shared_ptr<state> self, connection_stream stream);
+    awaitable<bool> handle(connection_stream& stream, beast::flat_buffer& buf);
+    awaitable<void> refuse(connection_stream& stream, int status, errc code) const;
+    awaitable<void> refuse_malformed(connection_stream& stream,
+                                     const boost::system::error_code& ec) const;
+
+    asio::io_context& context;
+    http_limits limits;
+    http_handler handler;
+    tcp::acceptor acceptor;
+    std::uint16_t port = 0;
+    std::atomic<std::size_t> connections{0};
+    std::atomic<std::size_t> requests{0};
+    std::atomic<bool> accepting{true};
+};
+
+void http_server::state::accept()
+{
+    std::shared_ptr<state> self = shared_from_this();
+    acceptor.async_accept(asio::make_strand(context),
+                          [self](const boost::system::error_code& ec, tcp::socket socket)
+                          {
+                              if (!self->acceptor.is_open())
+                              {
+                                  return;
+                              }
+                              if (!ec)
+                              {
+                                  boost::system::error_code ignored;
+                                  socket.set_option(tcp::no_delay(true), ignored);
+                                  asio::any_io_executor executor = socket.get_executor();
+                                  asio::co_spawn(executor,
+                                                 serve(self, connection_stream(std::move(socket))),
+                                                 asio::detached);
+                              }
+                              self->accept();
+                          });
+}
+
+awaitable<void> http_server::state::refuse(connection_stream& stream, int status, errc code) const
+{
+    http::response<http::string_body> message;
+    message.version(11);
+    message.result(static_cast<unsigned>(status));
+    message.set(http::field::content_type, "application/json");
+    message.body() = error_body(code);
+    message.keep_alive(false);
+    message.prepare_payload();
+    boost::system::error_code ec;
+    stream.expires_after(std::chrono::seconds(2));
+    co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, ec));
+    stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    // Unread input would make the kernel reset the connection and drop the answer.
+    char discard[4096];
+    for (int n = 0; n < 256 && !ec; ++n)
+    {
+        co_await stream.async_read_some(asio::buffer(discard),
+                                        asio::redirect_error(asio::use_awaitable, ec));
+    }
+}
+
+awaitable<void> http_server::state::refuse_malformed(connection_stream& stream,
+                                                     const boost::system::error_code& ec) const
+{
+    if (ec == http::error::end_of_stream || ec == beast::error::timeout ||
+        ec.category() == asio::error::get_system_category() ||
+        ec.category() == asio::error::get_misc_category())
+    {
+        co_return;
+    }
+    const bool large = ec == http::error::header_limit || ec == http::error::body_limit ||
+                       ec == http::error::buffer_overflow;
+    co_await refuse(stream, large ? 413 : 400, large ? errc::too_large : errc::invalid_request);
+}
+
+awaitable<bool> http_server::state::handle(connection_stream& stream, beast::flat_buffer& buf)
+{
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+    parser.body_limit(limits.body_bytes);
+    boost::system::error_code ec;
+    stream.expires_after(std::chrono::milliseconds(limits.idle.count));
+    co_await http::async_read(stream, buf, parser, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec)
+    {
+        co_await refuse_malformed(stream, ec);
+        co_return false;
+    }
+    stream.expires_never();
+    http::request<http::string_body> message = parser.release();
+    http_request request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto& field : message)
+    {
+        request.fields.emplace_back(field.name_string(), field.value());
+    }
+    request.body = std::move(message.body());
+    std::shared_ptr<connection_writer> writer = std::make_shared<connection_writer>(
+        stream, limits.write, message.keep_alive() && accepting);
+    requests.fetch_add(1);
+    bool failed = false;
+    try
+    {
+        co_await handler(std::move(request), *writer);
+    }
+    catch (const std::exception&)
+    {
+        failed = true;
+    }
+    requests.fetch_sub(1);
+    writer->stop_watching();
+    if (failed)
+    {
+        writer->abort();
+    }
+    co_return !failed && writer->may_reuse();
+}
+
+awaitable<void> http_server::state::serve(std::shared_ptr<state> self, connection_stream stream)
+{
+    const std::size_t open = self->connections.fetch_add(1) + 1;
+    if (open > self->limits.connections)
+    {
+        co_await self->refuse(stream, 503, errc::overloaded);
+    }
+    else
+    {
+        beast::flat_buffer buf(self->limits.header_bytes + self->limits.body_bytes);
+        while (co_await self->handle(stream, buf))
+        {
+        }
+    }
+    boost::system::error_code ec;
+    stream.socket().shutdown(tcp::socket::shutdown_both, ec);
+    stream.socket().close(ec);
+    self->connections.fetch_sub(1);
+}
+
+http_server::http_server(asio::io_context& context, http_limits limits, http_handler handler)
+    : state_(std::make_shared<state>(context, limits, std::move(handler)))
+{
+}
+
+http_server::~http_server()
+{
+    stop_accepting();
+}
+
+std::error_code http_server::listen(const socket_address& address)
+{
+    boost::system::error_code ec;
+    const tcp::endpoint endpoint(asio::ip::make_address(address.host, ec), address.port);
+    if (ec)
+    {
+        return make_error_code(errc::invalid_settings);
+    }
+    state_->acceptor.open(endpoint.protocol(), ec);
+    if (!ec)
+    {
+        state_->acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    }
+    if (!ec)
+    {
+        state_->acceptor.bind(endpoint, ec);
+    }
+    if (!ec)
+    {
+        state_->acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    if (ec)
+    {
+        return {ec.value(), std::system_category()};
+    }
+    state_->port = state_->acceptor.local_endpoint().port();
+    state_->accept();
+    return {};
+}
+
+std::uint16_t http_server::port() const
+{
+    return state_->port;
+}
+
+void http_server::stop_accepting()
+{
+    state_->accepting = false;
+    std::shared_ptr<state> self = state_;
+    asio::post(self->acceptor.get_executor(),
+               [self]
+               {
+                   boost::system::error_code ec;
+                   self->acceptor.close(ec);
+               });
+}
+
+std::size_t http_server::active_requests() const
+{
+    return state_->requests;
+}
+
+} // namespace endivestage
