--- a/endivestage/daemon/http_client.cpp
+++ b/endivestage/daemon/http_client.cpp
@@ -10,7 +10,7 @@
 #include <optional>
 #include <utility>
 
-namespace endivestage
+namespace endivestage::daemon
 {
 
 namespace asio = boost::asio;
@@ -54,7 +54,7 @@
 
 http_exchange::~http_exchange() = default;
 
-awaitable<std::error_code> http_exchange::connect(socket_address address, millis timeout)
+awaitable<std::error_code> http_exchange::connect(network_address address, millis timeout)
 {
     std::shared_ptr<state> self = state_;
     boost::system::error_code ec;
@@ -147,7 +147,7 @@
            state_->parser->get().keep_alive();
 }
 
-awaitable<result<http_response>> http_call(socket_address address, http_request request,
+awaitable<result<http_response>> http_call(network_address address, http_request request,
                                            millis timeout)
 {
     http_exchange exchange(co_await asio::this_coro::executor);
@@ -177,4 +177,4 @@
     }
 }
 
-} // namespace endivestage
+} // namespace endivestage::daemon
--- a/endivestage/daemon/http_client.hpp
+++ b/endivestage/daemon/http_client.hpp
@@ -9,7 +9,7 @@
 #include <memory>
 #include <string>
 
-namespace endivestage
+namespace endivestage::daemon
 {
 
 /// \brief A request in progress on a connection of its own.
@@ -27,7 +27,7 @@
     http_exchange& operator=(const http_exchange&) = delete;
 
     /// \brief Connects; sends nothing.
-    awaitable<std::error_code> connect(socket_address address, millis timeout);
+    awaitable<std::error_code> connect(network_address address, millis timeout);
 
     /// \brief Sends the request and reads status and header fields of the answer.
     awaitable<result<http_response>> start(http_request request, millis timeout);
@@ -50,7 +50,7 @@
 
 /// \brief Sends one request on a new connection and reads the whole answer.
 /// \param timeout For each of connecting, the header and each part of the body.
-awaitable<result<http_response>> http_call(socket_address address, http_request request,
+awaitable<result<http_response>> http_call(network_address address, http_request request,
                                            millis timeout);
 
-} // namespace endivestage
+} // namespace endivestage::daemon
--- a/endivestage/daemon/http_server.cpp
+++ b/endivestage/daemon/http_server.cpp
@@ -12,7 +12,7 @@
 #include <exception>
 #include <utility>
 
-namespace endivestage
+namespace endivestage::daemon
 {
 
 namespace asio = boost::asio;
@@ -322,7 +322,7 @@
     stop_accepting();
 }
 
-std::error_code http_server::listen(const socket_address& address)
+std::error_code http_server::listen(const network_address& address)
 {
     boost::system::error_code ec;
     const tcp::endpoint endpoint(asio::ip::make_address(address.host, ec), address.port);
@@ -374,4 +374,4 @@
     return state_->requests;
 }
 
-} // namespace endivestage
+} // namespace endivestage::daemon
--- a/endivestage/daemon/http_server.hpp
+++ b/endivestage/daemon/http_server.hpp
@@ -13,7 +13,7 @@
 #include <memory>
 #include <string_view>
 
-namespace endivestage
+namespace endivestage::daemon
 {
 
 /// \brief The answer to one request: either one complete message or a stream of chunks.
@@ -70,7 +70,7 @@
 
     /// \brief Binds and starts accepting.
     /// \param address Port 0 takes any free port.
-    std::error_code listen(const socket_address& address);
+    std::error_code listen(const network_address& address);
 
     /// \returns The bound port.
     std::uint16_t port() const;
@@ -86,4 +86,4 @@
     std::shared_ptr<state> state_;
 };
 
-} // namespace endivestage
+} // namespace endivestage::daemon
--- a/endivestage/daemon/http_types.cpp
+++ b/endivestage/daemon/http_types.cpp
@@ -6,7 +6,7 @@
 #include <charconv>
 #include <strings.h>
 
-namespace endivestage
+namespace endivestage::daemon
 {
 
 namespace
@@ -62,7 +62,7 @@
     return true;
 }
 
-bool parse_socket_address(std::string_view text, socket_address& parsed)
+bool parse_network_address(std::string_view text, network_address& parsed)
 {
     const std::size_t colon = text.rfind(':');
     if (colon == std::string_view::npos)
@@ -93,10 +93,4 @@
     return true;
 }
 
-std::string to_string(const socket_address& address)
-{
-    const bool ipv6 = address.host.find(':') != std::string::npos;
-    return (ipv6 ? "[" + address.host + "]" : address.host) + ":" + std::to_string(address.port);
-}
-
-} // namespace endivestage
+} // namespace endivestage::daemon
--- a/endivestage/daemon/http_types.hpp
+++ b/endivestage/daemon/http_types.hpp
@@ -2,6 +2,8 @@
 /// \brief HTTP messages as plain values, so that only two translation units include Beast.
 #pragma once
 
+#include <endivestage/daemon/network_address.hpp>
+
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
 #include <string>
@@ -9,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-namespace endivestage
+namespace endivestage::daemon
 {
 
 /// \brief Result type of the asynchronous calls of the adapters.
@@ -55,20 +57,8 @@
 /// \returns false when the target is not a valid origin-form target.
 bool parse_target(std::string_view target, http_target& parsed);
 
-/// \brief IP address and port of a process.
-struct socket_address
-{
-    std::string host;
-    std::uint16_t port = 0;
-
-    bool operator==(const socket_address&) const = default;
-};
-
 /// \brief Parses "host:port" with a numeric IPv4 or bracketed IPv6 address.
 /// \returns false when \p text has another form.
-bool parse_socket_address(std::string_view text, socket_address& parsed);
-
-/// \returns "host:port".
-std::string to_string(const socket_address& address);
+bool parse_network_address(std::string_view text, network_address& parsed);
 
-} // namespace endivestage
+} // namespace endivestage::daemon
--- a/standin/common.cpp
+++ b/standin/common.cpp
@@ -79,7 +79,7 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
 }
 
-int serve(asio::io_context& context, http_server& server, const socket_address& listen)
+int serve(asio::io_context& context, http_server& server, const network_address& listen)
 {
     const std::error_code ec = server.listen(listen);
     if (ec)
--- a/standin/engine.cpp
+++ b/standin/engine.cpp
@@ -133,6 +133,21 @@
         }
     }
 
+    /// Continues an answer whose first bytes were generated elsewhere; offsets begin behind them.
+    static void drop_prefix(generation& current, std::size_t bytes)
+    {
+        current.text.erase(0, bytes);
+        std::vector<std::size_t> remaining;
+        for (const std::size_t end : current.piece_end)
+        {
+            if (end > bytes)
+            {
+                remaining.push_back(end - bytes);
+            }
+        }
+        current.piece_end = std::move(remaining);
+    }
+
     generation_ptr create(const json::object& body, std::size_t offset)
     {
         generation_ptr current = std::make_shared<generation>();
@@ -141,6 +156,7 @@
         current->priority = number_or(body, "priority", 0);
         compose(*current, chat, text_or_empty(body, "prompt"),
                 static_cast<std::size_t>(number_or(body, "max_tokens", 16)));
+        drop_prefix(*current, text_or_empty(body, "prefix").size());
         while (current->produced < current->piece_end.size() &&
                current->piece_end[current->produced] <= offset)
         {
@@ -268,6 +284,8 @@
             data["done"] = true;
             data["cached_tokens"] = current.cached_tokens;
             data["prompt_tokens"] = current.prompt_tokens;
+            data["total_tokens"] =
+                current.prompt_tokens + static_cast<std::int64_t>(current.piece_end.size());
             data["engine"] = options_.id;
         }
         else
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -9,13 +9,13 @@
 namespace
 {
 
-CLI::Option* add_address(CLI::App& app, const std::string& name, socket_address& address)
+CLI::Option* add_address(CLI::App& app, const std::string& name, network_address& address)
 {
     return app.add_option_function<std::string>(
         name,
         [&address, name](const std::string& text)
         {
-            if (!parse_socket_address(text, address))
+            if (!parse_network_address(text, address))
             {
                 throw CLI::ValidationError(name, "expected IP:PORT");
             }
--- a/standin/standin.hpp
+++ b/standin/standin.hpp
@@ -12,10 +12,12 @@
 namespace endivestage::standin
 {
 
+using namespace endivestage::daemon;
+
 /// \brief Settings of the platform stand-in.
 struct platform_options
 {
-    socket_address listen{"127.0.0.1", 0};
+    network_address listen{"127.0.0.1", 0};
     millis host_list_lag{500};
     double weight_loads_per_second = 2.0;
 };
@@ -23,7 +25,7 @@
 /// \brief Settings of a model engine stand-in.
 struct engine_options
 {
-    socket_address listen{"127.0.0.1", 0};
+    network_address listen{"127.0.0.1", 0};
     std::string id;
     std::size_t slots = 8; ///< Requests generated at the same time.
     std::int64_t cache_tokens = 200000;
@@ -38,7 +40,7 @@
 /// \brief Settings of a plain service stand-in.
 struct service_options
 {
-    socket_address listen{"127.0.0.1", 0};
+    network_address listen{"127.0.0.1", 0};
     std::string id;
     millis service_time{5};
 };
@@ -46,9 +48,9 @@
 /// \brief Settings of the TCP proxy that cuts or silences connections.
 struct proxy_options
 {
-    socket_address listen{"127.0.0.1", 0};
-    socket_address control{"127.0.0.1", 0};
-    socket_address target;
+    network_address listen{"127.0.0.1", 0};
+    network_address control{"127.0.0.1", 0};
+    network_address target;
 };
 
 int run_platform(const platform_options& options);
@@ -85,6 +87,6 @@
 
 /// \brief Runs a server until the process is told to stop (SIGTERM or SIGINT).
 /// \returns The exit code of the process.
-int serve(boost::asio::io_context& context, http_server& server, const socket_address& listen);
+int serve(boost::asio::io_context& context, http_server& server, const network_address& listen);
 
 } // namespace endivestage::standin
