--- /dev/null
+++ b/endivestage/timeline.hpp
@@ -0,0 +1,16 @@
+/// \file
+/// \brief Umbrella header of the timeline module: one causal record over all processes.
+///
+/// Contents:
+///  - hybrid_time, hybrid_logical_clock (timeline/hybrid_clock.hpp)
+///  - event_kind, timeline_event (timeline/event.hpp)
+///  - render_text, render_json (timeline/render.hpp): one line an event
+///  - timeline_filter, timeline_buffer, merge_timelines (timeline/buffer.hpp)
+///
+/// \sa timeline/GUIDE.md
+#pragma once
+
+#include <endivestage/timeline/buffer.hpp>
+#include <endivestage/timeline/event.hpp>
+#include <endivestage/timeline/hybrid_clock.hpp>
+#include <endivestage/timeline/render.hpp>
--- /dev/null
+++ b/endivestage/timeline/hybrid_clock.hpp
@@ -0,0 +1,43 @@
+/// \file
+/// \brief Hybrid logical clock (Kulkarni et al., 2014): wall time that respects causality.
+#pragma once
+
+#include <endivestage/core.hpp>
+
+#include <compare>
+#include <cstdint>
+
+namespace endivestage
+{
+
+/// \brief A reading of a hybrid logical clock.
+struct hybrid_time
+{
+    std::int64_t wall_ms = 0;  ///< Milliseconds since the Unix epoch.
+    std::uint32_t counter = 0; ///< Orders readings of the same millisecond.
+
+    constexpr auto operator<=>(const hybrid_time&) const = default;
+};
+
+/// \brief Clock of one router. A message carries the sender's reading; a reading taken after the
+/// message was received is larger.
+class hybrid_logical_clock
+{
+public:
+    /// \param max_ahead Readings of others further ahead of the wall clock than this are ignored,
+    /// so that one wrong clock does not carry away all others.
+    explicit hybrid_logical_clock(millis max_ahead = millis{60000}) : max_ahead_(max_ahead) {}
+
+    /// \returns A reading larger than all earlier ones of this clock, for a local event or a send.
+    hybrid_time next(time_point wall_now);
+
+    /// \brief Takes the reading of a received message.
+    /// \returns errc::ok, or errc::invalid_request when the reading was ignored.
+    errc observe(hybrid_time remote, time_point wall_now);
+
+private:
+    millis max_ahead_;
+    hybrid_time last_;
+};
+
+} // namespace endivestage
