--- a/endivestage/ledger/attempt.hpp
+++ b/endivestage/ledger/attempt.hpp
@@ -127,22 +127,25 @@
     };
 
     void pursue(goal next, instant t);
-    void on_failed_operation(const table_result& given, instant t);
+    void retry(instant t);
     void on_row(const table_row& row, instant t);
-    void on_own_row(const table_row& row, const ledger_row& value, instant t);
+    void on_own_row(const ledger_row& value, instant t);
     void on_other_row(const table_row& row, const ledger_row& value, instant t);
     void on_no_row(instant t);
     void on_goal_reached(instant t);
     void give_up(instant t);
-    void answer(errc error, execution ran, endpoint_result result = {});
+    void answer(errc error, execution ran, instant t);
+    void answer_from(const ledger_row& value, instant t);
     void finish();
-    void submit(table_operation::kind what, std::uint64_t version, const std::string& value,
-                instant t);
-    void write(table_operation::kind what, std::uint64_t version, ledger_state state, instant t);
     void write_goal(instant t);
-    bool count_try(instant t);
+    void replace_other(const table_row& row, instant t);
+    void settle_again(const table_row& row, instant t);
+    void settle_other(const table_row& row, instant t);
+    void submit(table_operation operation, instant t);
+    millis pause();
     bool past_deadline(instant t) const { return t.now >= request_.deadline; }
     bool may_take_over(const ledger_row& value, instant t) const;
+    bool may_write_over(ledger_state state) const;
     execution refused() const;
     ledger_state target() const;
     attempt_actions take();
@@ -163,7 +166,7 @@
     bool outstanding_ = false;
     bool row_possible_ = false;
     bool read_back_ = false;
-    bool aborted_ = false;
+    bool key_seen_ = false;
     bool sent_ = false;
     bool endpoint_ended_ = false;
     bool answered_ = false;
--- /dev/null
+++ b/endivestage/ledger/internal/json_implementation.cpp
@@ -0,0 +1,1 @@
+#include <boost/json/src.hpp>
--- a/endivestage/stream/assembler.hpp
+++ b/endivestage/stream/assembler.hpp
@@ -86,7 +86,8 @@
 {
 public:
     /// \param request Id that each event must echo.
-    /// \param delivered Bytes that the caller already has, when it resumes on this router.
+    /// \param delivered Bytes that the caller already has, when it resumes on this router; the
+    /// first connection is then asked for the answer from there on.
     explicit answer_assembler(request_id request, const assembler_limits& limits = {},
                               std::uint64_t delivered = 0);
 
@@ -100,11 +101,12 @@
     stream_actions restart();
 
     /// \brief The caller's connection took \p n delivered bytes.
+    /// \param n At most the bytes delivered and not yet reported.
     stream_actions consumed(std::size_t n);
 
-    /// \brief Continues on another endpoint whose offsets begin at 0 behind the delivered bytes.
-    /// \param request A new id: the former endpoint may still send under the old one.
-    /// \returns The number of the connection to be opened to the new endpoint.
+    /// \brief Continues, also after fail_answer, on another endpoint whose offsets begin at 0
+    /// behind the delivered bytes. \param request A new id: the former endpoint may still send
+    /// under the old one. \returns The number of the connection to be opened to the new endpoint.
     std::uint64_t continue_as(request_id request);
 
     /// \returns Bytes delivered so far.
@@ -122,9 +124,9 @@
     };
 
     bool is_current(std::uint64_t connection) const;
-    void take_bytes(std::uint64_t connection, const stream_event& event);
-    void end_at(std::uint64_t connection, std::uint64_t end);
-    void resume(std::uint64_t connection, errc reason);
+    void take_bytes(const stream_event& event, std::uint64_t known);
+    void overflow();
+    void resume(errc reason);
     void fail(errc reason);
     stream_actions take();
 
@@ -137,6 +139,7 @@
     std::size_t unconsumed_ = 0;
     int resumes_ = 0;
     bool paused_ = false;
+    bool overflowed_ = false;
     state state_ = state::open;
 };
 
--- a/endivestage/stream/stall.hpp
+++ b/endivestage/stream/stall.hpp
@@ -77,6 +77,7 @@
     };
 
     stall_actions judge(time_point now);
+    stall_actions next_round(time_point now);
     void watch(time_point now);
 
     stall_limits limits_;
