--- a/endivestage/timeline.hpp
+++ b/endivestage/timeline.hpp
@@ -4,7 +4,7 @@
 /// Contents:
 ///  - hybrid_time, hybrid_logical_clock (timeline/hybrid_clock.hpp)
 ///  - event_kind, timeline_event (timeline/event.hpp)
-///  - render_text, render_json (timeline/render.hpp): one line an event
+///  - render_text, render_json, parse_json_event (timeline/render.hpp): one line an event
 ///  - timeline_filter, timeline_buffer, merge_timelines (timeline/buffer.hpp)
 ///
 /// \sa timeline/GUIDE.md
--- a/endivestage/timeline/event.hpp
+++ b/endivestage/timeline/event.hpp
@@ -4,6 +4,8 @@
 
 #include <endivestage/timeline/hybrid_clock.hpp>
 
+#include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -50,9 +52,16 @@
     store_available,
 };
 
+/// \brief Number of values of event_kind.
+inline constexpr std::size_t event_kind_count =
+    static_cast<std::size_t>(event_kind::store_available) + 1;
+
 /// \returns The stable snake_case name of a kind.
 std::string_view to_string(event_kind kind);
 
+/// \returns The kind with this name; nothing for other names.
+std::optional<event_kind> parse_event_kind(std::string_view name);
+
 /// \brief An event; ids that do not apply are empty.
 struct timeline_event
 {
