Use the JSON implementation unit of core

Cause: main has core/json_implementation.cpp. Change: remove the ledger's own unit. Conclusion: one definition of Boost.JSON's functions per program.

--- a/endivestage/ledger/internal/json_implementation.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include <boost/json/src.hpp>
