--- /dev/null
+++ b/endivestage/admission/engine_gate.hpp
@@ -0,0 +1,184 @@
+/// \file
+/// \brief The owner's side of one engine: issues permits within the load bound.
+#pragma once
+
+#include <endivestage/admission/cold_start_ramp.hpp>
+#include <endivestage/admission/internal/load_account.hpp>
+#include <endivestage/admission/load_bound.hpp>
+#include <endivestage/admission/permit.hpp>
+#include <endivestage/admission/pool_aggregate.hpp>
+#include <endivestage/admission/team_queue.hpp>
+#include <endivestage/placement/recency_index.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <vector>
+
+namespace endivestage
+{
+
+/// \brief Parameters of engine_gate.
+struct gate_policy
+{
+    bound_policy bound;
+    ramp_policy ramp;
+    queue_policy queue;
+    millis report_lag{1000};         ///< Largest lag of an engine's load report (assumed, 2.3).
+    double capacity = 1.0;           ///< Weight of the engine.
+    std::uint32_t most_requests = 0; ///< Absolute limit of the engine; 0 for none.
+    std::uint64_t cache_tokens = 1000000; ///< Tokens that the engine's prefix cache holds.
+    double reserved_share = 0.1;       ///< Share of the limit kept for chats with a long history.
+    std::uint32_t long_history = 4000; ///< Cached tokens from which a history is long.
+};
+
+/// \brief Load report of an engine.
+struct engine_report
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;     ///< Queued inside the engine.
+    std::uint64_t incarnation = 0; ///< Changes with each start of the engine.
+    bool cache_lost = false;       ///< The engine dropped its prefix cache since the last report.
+    bool warm = false;             ///< The engine says that it can take full load.
+};
+
+/// \brief Whether an engine may get new work.
+enum class engine_service
+{
+    in_service,
+    leaving,        ///< Refused with endpoint_leaving.
+    out_of_service, ///< Its zone was taken out; refused with zone_out_of_service.
+    suspected,      ///< Refused with endpoint_unavailable.
+};
+
+/// \brief Issues the permits of one engine at its owner.
+///
+/// All times are on the owner's monotonic clock and never step back between calls. Functions that
+/// may free a place or end a wait return the waiting requests that were decided, in order.
+class engine_gate
+{
+public:
+    /// \param engine Name of the engine.
+    /// \param view View under which this router owns the engine.
+    /// \param ask Routers whose held permits must be known before the first permit is issued; empty
+    /// for an engine that no router can hold permits for.
+    engine_gate(const gate_policy& policy, endpoint_id engine, std::uint64_t view,
+                std::span<const router_id> ask, time_point now);
+
+    /// \brief Asks for a permit.
+    /// \returns A permit, a queue_ticket when the request waits, or a refusal (see permit_answer).
+    permit_answer acquire(const permit_request& request, time_point now);
+
+    /// \brief Returns a permit. Unknown or repeated keys have no effect.
+    std::vector<queue_decision> release(permit_key key, const permit_outcome& outcome,
+                                        time_point now);
+
+    /// \brief Withdraws a waiting request. No effect when it no longer waits.
+    void cancel(queue_ticket ticket);
+
+    /// \brief The holder is known to be dead: its waiting requests are dropped without a decision,
+    /// its permits count until a report shows what is left of them.
+    std::vector<queue_decision> holder_died(const router_id& holder, time_point now);
+
+    /// \brief The holder told which permits it holds; others of it are gone (lost release or
+    /// answer). \param asked When it was asked; permits issued later are kept.
+    std::vector<queue_decision> reconcile(const router_id& holder, std::span<const permit_key> held,
+                                          time_point asked, time_point now);
+
+    /// \returns Holders of permits older than \p age, which should be asked what they hold.
+    std::vector<router_id> holders_to_ask(millis age, time_point now) const;
+
+    /// \brief Takes over a load report.
+    std::vector<queue_decision> report(const engine_report& report, time_point received);
+
+    /// \brief Takes over a pool mean.
+    /// \param taken When the digest that it answers was sent.
+    std::vector<queue_decision> update_mean(const pool_mean& mean, time_point taken,
+                                            time_point now);
+
+    /// \brief Changes whether the engine gets new work. Waiting requests are refused to their entry
+    /// routers when it does not.
+    std::vector<queue_decision> set_service(engine_service service, time_point now);
+
+    /// \brief Extends or ends the right to issue permits (confirmation of the view, R1).
+    /// \param until Permits are issued before this instant.
+    void set_confirmed(std::uint64_t view, time_point until);
+
+    /// \brief Refuses waiting requests whose deadline can no longer be met. Call about every 100
+    /// ms.
+    std::vector<queue_decision> tick(time_point now);
+
+    /// \brief Permits that a router of the old or new view holds on this engine (rebuild, R6).
+    std::vector<queue_decision> restore(const router_id& router, std::span<const held_permit> held,
+                                        time_point now);
+
+    /// \brief The old owner's handover or other evidence says that the engine is warm.
+    std::vector<queue_decision> mark_warm(time_point now);
+
+    /// \returns All counted permits, for a handover to the next owner.
+    std::vector<held_permit> snapshot() const;
+
+    /// \returns The engine's entry in the owner's load digest. The capacity of a cold engine is
+    /// reduced to the share that its ramp allows, because work that cannot go there must not lower
+    /// the pool's mean for the warm engines.
+    engine_load digest(time_point now) const;
+
+    /// \returns Requests on the engine as counted by the owner.
+    std::uint32_t load() const { return account_.load(); }
+
+    /// \returns The load up to which permits are issued now.
+    std::uint32_t limit() const;
+
+    /// \returns True until the held permits of all routers are known (R6).
+    bool rebuilding() const { return rebuilding_; }
+
+    std::size_t waiting() const { return queue_.size(); }
+    const cold_start_ramp& ramp() const { return ramp_; }
+    const recency_index& cache() const { return cache_; }
+
+    /// \brief Records a cache event: the engine no longer holds the chat.
+    void evicted(const chat_id& chat) { cache_.erase(chat_key_of(chat)); }
+
+private:
+    struct issued_permit
+    {
+        held_permit held;
+        time_point issued;
+        std::uint32_t ramp_epoch = 0;
+        std::uint32_t history_tokens = 0;
+    };
+
+    static std::uint64_t chat_key_of(const chat_id& chat);
+    std::error_code refusal(time_point now) const;
+    bool has_place(std::uint32_t cached_tokens) const;
+    millis estimated_wait(const permit_request& request) const;
+    permit_answer enqueue(const permit_request& request, time_point now);
+    permit issue(const permit_request& request, time_point now);
+    void settle(const issued_permit& issued, const permit_outcome& outcome);
+    void note_departure(time_point now);
+    void end_rebuild_if_known(time_point received);
+    std::vector<queue_decision> drain(time_point now);
+    std::vector<queue_decision> refuse_waiting(std::error_code reason);
+
+    gate_policy policy_;
+    endpoint_id engine_;
+    std::uint64_t view_;
+    time_point confirmed_until_{};
+    time_point took_over_;
+    std::set<router_id> unanswered_;
+    bool rebuilding_;
+    engine_service service_ = engine_service::in_service;
+    std::uint64_t last_sequence_ = 0;
+    std::map<permit_key, issued_permit> permits_;
+    internal::load_account account_;
+    load_bound bound_;
+    cold_start_ramp ramp_;
+    team_queue queue_;
+    recency_index cache_;
+    std::optional<time_point> last_departure_;
+    double departure_interval_ = 0.0; // Smoothed milliseconds between departures; 0: unknown.
+};
+
+} // namespace endivestage
--- /dev/null
+++ b/endivestage/admission/load_bound.hpp
@@ -0,0 +1,65 @@
+/// \file
+/// \brief Load limit of an engine relative to its pool's mean.
+#pragma once
+
+#include <endivestage/core.hpp>
+
+#include <cstdint>
+
+namespace endivestage
+{
+
+/// \brief Parameters of load_bound.
+struct bound_policy
+{
+    double multiple = 1.25;           ///< Configured bound (I1).
+    double admission_multiple = 1.15; ///< m; below multiple, so that a falling mean leaves room.
+    millis max_mean_age{1000};        ///< An older mean raises no limit.
+};
+
+/// \brief Load and capacity of a pool as its aggregator sees them.
+struct pool_mean
+{
+    double load = 0.0;     ///< Sum of the engines' loads in requests.
+    double capacity = 0.0; ///< Sum of the engines' weights.
+    millis oldest{0};      ///< Age of the oldest digest in the sums.
+
+    /// \returns Requests per unit of weight; 0 without capacity.
+    double value() const { return capacity > 0.0 ? load / capacity : 0.0; }
+};
+
+/// \returns max(1, ceil(multiple x mean x weight)), the whole requests that a multiple allows.
+std::uint32_t bounded_limit(double multiple, double mean, double weight);
+
+/// \brief Limit of one engine. Starts at 1, without a mean.
+class load_bound
+{
+public:
+    explicit load_bound(const bound_policy& policy) : policy_(policy) {}
+
+    /// \brief Takes over a pool mean.
+    /// \param taken When the digest it answers was sent, on the owner's clock. An answer older than
+    /// the last one, or older than the policy's age, is dropped.
+    void update(const pool_mean& mean, time_point taken, time_point now);
+
+    /// \brief Lowers the limit to \p load once the mean has become too old.
+    ///
+    /// Must be called before each change of the load, so that \p load is the one at expiry.
+    void expire(std::uint32_t load, time_point now);
+
+    /// \param weight Capacity of the engine; positive.
+    /// \returns The limit in whole requests, at least 1.
+    std::uint32_t limit(double weight) const;
+
+    /// \returns True while the mean is too old to raise the limit.
+    bool stale() const { return stale_; }
+
+private:
+    bound_policy policy_;
+    double mean_ = 0.0;
+    time_point taken_{};
+    std::uint32_t frozen_ = 1;
+    bool stale_ = true;
+};
+
+} // namespace endivestage
--- /dev/null
+++ b/endivestage/placement.hpp
@@ -0,0 +1,16 @@
+/// \file
+/// \brief Umbrella header of the placement module: which engine a chat's request goes to.
+///
+/// Contents:
+///  - placement_policy (placement/policy.hpp): parameters
+///  - pool_engine, candidate_ranking, chat_key (placement/candidates.hpp): candidates of a chat
+///  - recency_index (placement/recency_index.hpp): estimate of an engine's prefix cache
+///  - placement_offer, choose_offer (placement/offer.hpp): choice between offers
+///  - placement_attempt (placement/attempt.hpp): rounds of permit requests and fallback
+#pragma once
+
+#include <endivestage/placement/attempt.hpp>
+#include <endivestage/placement/candidates.hpp>
+#include <endivestage/placement/offer.hpp>
+#include <endivestage/placement/policy.hpp>
+#include <endivestage/placement/recency_index.hpp>
--- /dev/null
+++ b/endivestage/placement/offer.hpp
@@ -0,0 +1,34 @@
+/// \file
+/// \brief Choice between the offers of several engine owners.
+#pragma once
+
+#include <endivestage/placement/policy.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+
+namespace endivestage
+{
+
+/// \brief What the owner of one engine offered for a request.
+struct placement_offer
+{
+    std::size_t rank = 0;            ///< Rank of the engine among the chat's candidates.
+    std::uint32_t load = 0;          ///< Requests on the engine, this one included.
+    std::uint32_t limit = 1;         ///< Requests that the engine may have now.
+    double capacity = 1.0;           ///< Weight of the engine; positive.
+    std::uint32_t cached_tokens = 0; ///< Tokens of the chat in the engine's cache.
+};
+
+/// \brief Picks the engine with the longest cached prefix, else the lowest load per capacity.
+///
+/// Equal offers are decided by rank, so that all routers choose alike.
+/// \param history_tokens Tokens of the chat so far; 0 for a new chat.
+/// \returns Position in \p offers, or nothing when there is no offer.
+std::optional<std::size_t> choose_offer(std::span<const placement_offer> offers,
+                                        std::uint32_t history_tokens,
+                                        const placement_policy& policy);
+
+} // namespace endivestage
