Add admission and placement

Cause: an engine needs one place that counts its permits and one rule for where a chat's request goes. Change: engine_gate with load bound, cold-start ramp, team queue, rebuild and reconciliation; pool aggregate; retry budget and backoff; candidate ranking, recency index, offer choice, fallback.

--- /dev/null
+++ b/endivestage/admission/cold_start_ramp.cpp
@@ -0,0 +1,95 @@
+#include <endivestage/admission/cold_start_ramp.hpp>
+
+#include <algorithm>
+#include <cassert>
+
+namespace endivestage
+{
+
+namespace
+{
+
+// With fewer first-token times a median says little about what is usual for the engine.
+constexpr std::size_t least_times_for_median = 8;
+
+} // namespace
+
+cold_start_ramp::cold_start_ramp(const ramp_policy& policy)
+    : policy_(policy),
+      allowance_(policy.start)
+{
+    assert(policy.start >= 1);
+    assert(policy.median_window >= least_times_for_median);
+}
+
+void cold_start_ramp::make_cold()
+{
+    allowance_ = policy_.start;
+    ++epoch_;
+    round_ = 0;
+    streak_ = 0;
+    times_.clear();
+    oldest_ = 0;
+}
+
+void cold_start_ramp::make_warm()
+{
+    allowance_ = unlimited;
+}
+
+bool cold_start_ramp::finished(std::uint32_t epoch, std::optional<millis> first_token)
+{
+    if (epoch != epoch_)
+    {
+        return false;
+    }
+    const bool slow = first_token && observe(*first_token);
+    if (!warm())
+    {
+        advance(first_token && *first_token <= policy_.first_token_target);
+        return false;
+    }
+    streak_ = slow ? streak_ + 1 : 0;
+    if (streak_ < policy_.slow_streak)
+    {
+        return false;
+    }
+    make_cold();
+    return true;
+}
+
+void cold_start_ramp::advance(bool timely)
+{
+    round_ = timely ? round_ + 1 : 0;
+    if (round_ < allowance_)
+    {
+        return;
+    }
+    round_ = 0;
+    allowance_ = allowance_ >= (policy_.full + 1) / 2 ? unlimited : allowance_ * 2;
+}
+
+bool cold_start_ramp::observe(millis first_token)
+{
+    const bool slow = times_.size() >= least_times_for_median &&
+                      static_cast<double>(first_token.count) >
+                          policy_.slow_factor * static_cast<double>(median());
+    if (times_.size() < policy_.median_window)
+    {
+        times_.push_back(first_token.count);
+        return slow;
+    }
+    times_[oldest_] = first_token.count;
+    oldest_ = (oldest_ + 1) % times_.size();
+    return slow;
+}
+
+std::int64_t cold_start_ramp::median() const
+{
+    std::vector<std::int64_t> sorted = times_;
+    auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
+    std::nth_element(sorted.begin(), middle, sorted.end());
+    return *middle;
+}
+
+} // namespace endivestage
--- a/endivestage/admission/engine_gate.hpp
+++ b/endivestage/admission/engine_gate.hpp
@@ -8,6 +8,7 @@
 #include <endivestage/admission/permit.hpp>
 #include <endivestage/admission/pool_aggregate.hpp>
 #include <endivestage/admission/team_queue.hpp>
+#include <endivestage/placement/candidates.hpp>
 #include <endivestage/placement/recency_index.hpp>
 
 #include <cstdint>
@@ -104,7 +105,15 @@
 
     /// \brief Extends or ends the right to issue permits (confirmation of the view, R1).
     /// \param until Permits are issued before this instant.
-    void set_confirmed(std::uint64_t view, time_point until);
+    std::vector<queue_decision> set_confirmed(std::uint64_t view, time_point until, time_point now);
+
+    /// \brief Keeps a waiting request in the queue; sent by its holder about every 250 ms.
+    ///
+    /// The time to use of a permit counts from when the holder sent the renewal that the permit
+    /// names, so that a permit issued after a long wait is still bounded by its issue (R5, R6).
+    /// \param renewal Number of the renewal, growing per ticket.
+    /// \returns False when the request no longer waits here.
+    bool renew(queue_ticket ticket, std::uint32_t renewal, time_point now);
 
     /// \brief Refuses waiting requests whose deadline can no longer be met. Call about every 100
     /// ms.
@@ -114,16 +123,18 @@
     std::vector<queue_decision> restore(const router_id& router, std::span<const held_permit> held,
                                         time_point now);
 
-    /// \brief The old owner's handover or other evidence says that the engine is warm.
-    std::vector<queue_decision> mark_warm(time_point now);
+    /// \brief The old owner's handover says that this incarnation of the engine is warm.
+    std::vector<queue_decision> mark_warm(std::uint64_t incarnation, time_point now);
 
     /// \returns All counted permits, for a handover to the next owner.
     std::vector<held_permit> snapshot() const;
 
-    /// \returns The engine's entry in the owner's load digest. The capacity of a cold engine is
-    /// reduced to the share that its ramp allows, because work that cannot go there must not lower
-    /// the pool's mean for the warm engines.
-    engine_load digest(time_point now) const;
+    /// \returns The engine's entry in the owner's load digest, or nothing while it gets no new
+    /// work.
+    ///
+    /// The capacity of a cold engine is reduced to the share that its ramp allows: places that it
+    /// must not fill yet would lower the mean and with it the limits of the warm engines.
+    std::optional<engine_load> digest() const;
 
     /// \returns Requests on the engine as counted by the owner.
     std::uint32_t load() const { return account_.load(); }
@@ -139,7 +150,7 @@
     const recency_index& cache() const { return cache_; }
 
     /// \brief Records a cache event: the engine no longer holds the chat.
-    void evicted(const chat_id& chat) { cache_.erase(chat_key_of(chat)); }
+    void evicted(const chat_id& chat) { cache_.erase(chat_key(chat)); }
 
 private:
     struct issued_permit
@@ -147,20 +158,19 @@
         held_permit held;
         time_point issued;
         std::uint32_t ramp_epoch = 0;
-        std::uint32_t history_tokens = 0;
     };
 
-    static std::uint64_t chat_key_of(const chat_id& chat);
     std::error_code refusal(time_point now) const;
+    bool may_issue(time_point now) const;
     bool has_place(std::uint32_t cached_tokens) const;
     millis estimated_wait(const permit_request& request) const;
     permit_answer enqueue(const permit_request& request, time_point now);
     permit issue(const permit_request& request, time_point now);
-    void settle(const issued_permit& issued, const permit_outcome& outcome);
-    void note_departure(time_point now);
-    void end_rebuild_if_known(time_point received);
+    void settle(const issued_permit& issued, const permit_outcome& outcome, time_point now);
+    void note_departure(bool busy, time_point now);
+    void note_incarnation(const engine_report& report);
     std::vector<queue_decision> drain(time_point now);
-    std::vector<queue_decision> refuse_waiting(std::error_code reason);
+    std::vector<queue_decision> take_waiting(std::error_code reason);
 
     gate_policy policy_;
     endpoint_id engine_;
@@ -169,6 +179,8 @@
     time_point took_over_;
     std::set<router_id> unanswered_;
     bool rebuilding_;
+    bool has_report_ = false;
+    std::optional<std::uint64_t> incarnation_;
     engine_service service_ = engine_service::in_service;
     std::uint64_t last_sequence_ = 0;
     std::map<permit_key, issued_permit> permits_;
--- a/endivestage/admission/load_bound.hpp
+++ b/endivestage/admission/load_bound.hpp
@@ -45,12 +45,15 @@
     /// \brief Lowers the limit to \p load once the mean has become too old.
     ///
     /// Must be called before each change of the load, so that \p load is the one at expiry.
-    void expire(std::uint32_t load, time_point now);
+    void expire(std::uint32_t load, double weight, time_point now);
 
     /// \param weight Capacity of the engine; positive.
     /// \returns The limit in whole requests, at least 1.
     std::uint32_t limit(double weight) const;
 
+    /// \returns The last mean, in requests per unit of weight.
+    double mean() const { return mean_; }
+
     /// \returns True while the mean is too old to raise the limit.
     bool stale() const { return stale_; }
 
--- a/endivestage/admission/permit.hpp
+++ b/endivestage/admission/permit.hpp
@@ -42,8 +42,10 @@
 {
     permit_key key;
     millis time_to_use = permit_time_to_use;
-    std::uint32_t load = 0;          ///< Load of the engine, this permit included.
-    std::uint32_t limit = 1;         ///< Load up to which the engine admits now.
+    std::uint32_t renewal =
+        0;                   ///< Renewal from whose sending the time to use counts; 0: the request.
+    std::uint32_t load = 0;  ///< Load of the engine, this permit included.
+    std::uint32_t limit = 1; ///< Load up to which the engine admits now.
     std::uint32_t cached_tokens = 0; ///< Tokens of the chat in the engine's cache, estimated.
 };
 
--- a/endivestage/admission/team_queue.hpp
+++ b/endivestage/admission/team_queue.hpp
@@ -10,7 +10,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <unordered_map>
 #include <vector>
 
 namespace endivestage
@@ -28,6 +27,8 @@
 {
     queue_ticket ticket;
     permit_request request;
+    std::uint32_t renewal = 0; ///< Last renewal received.
+    time_point renewed;        ///< When it, or the request, was received.
 };
 
 /// \brief Orders waiting requests by priority, then by deficit round robin over teams.
@@ -42,7 +43,11 @@
 
     /// \brief Adds a request at the end of its team's queue.
     /// \returns The ticket, or overloaded when max_waiting requests wait.
-    result<queue_ticket> push(const permit_request& request);
+    result<queue_ticket> push(const permit_request& request, time_point now);
+
+    /// \brief Records a renewal of a waiting request.
+    /// \returns False when it no longer waits.
+    bool renew(queue_ticket ticket, std::uint32_t renewal, time_point now);
 
     /// \returns The next request to serve, removed; empty when none waits.
     std::optional<waiting_request> pop();
@@ -75,6 +80,8 @@
     using ring = std::deque<team_line>;
 
     std::uint32_t weight(const team_id& team) const;
+    std::size_t ahead_in(const ring& teams, const team_id& team) const;
+    static team_line& line_of(ring& teams, const team_id& team);
     waiting_request pop_from(ring& teams);
 
     queue_policy policy_;
--- a/endivestage/placement/attempt.hpp
+++ b/endivestage/placement/attempt.hpp
@@ -56,7 +56,6 @@
 
 private:
     placement_step next_round();
-    placement_step use(std::span<const placement_answer> answers, std::size_t chosen) const;
 
     std::vector<std::size_t> ranked_;
     std::uint32_t history_tokens_;
--- /dev/null
+++ b/endivestage/placement/offer.cpp
@@ -0,0 +1,55 @@
+#include <endivestage/placement/offer.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace endivestage
+{
+
+namespace
+{
+
+double relative_load(const placement_offer& offer)
+{
+    return offer.load / offer.capacity;
+}
+
+bool better(const placement_offer& left, const placement_offer& right, bool by_rank,
+            const placement_policy& policy)
+{
+    const auto usable = [&](std::uint32_t tokens)
+    {
+        return tokens >= policy.min_cached_tokens ? tokens : 0U;
+    };
+    const std::uint32_t left_cached = usable(left.cached_tokens);
+    const std::uint32_t right_cached = usable(right.cached_tokens);
+    if (left_cached != right_cached)
+    {
+        return left_cached > right_cached;
+    }
+    if (by_rank)
+    {
+        return left.rank < right.rank;
+    }
+    return std::tuple(relative_load(left), left.rank) <
+           std::tuple(relative_load(right), right.rank);
+}
+
+} // namespace
+
+std::optional<std::size_t> choose_offer(std::span<const placement_offer> offers,
+                                        std::uint32_t history_tokens,
+                                        const placement_policy& policy)
+{
+    if (offers.empty())
+    {
+        return std::nullopt;
+    }
+    const bool by_rank = policy.keep_home && history_tokens > 0;
+    auto best = std::min_element(offers.begin(), offers.end(),
+                                 [&](const placement_offer& left, const placement_offer& right)
+                                 { return better(left, right, by_rank, policy); });
+    return static_cast<std::size_t>(best - offers.begin());
+}
+
+} // namespace endivestage
--- a/endivestage/placement/recency_index.hpp
+++ b/endivestage/placement/recency_index.hpp
@@ -34,11 +34,7 @@
     /// \brief Forgets a chat, after a cache event said that it was evicted.
     void erase(std::uint64_t chat_key);
 
-    /// \brief Forgets all chats when the incarnation differs from the last one seen.
-    /// \returns True when entries were dropped or the incarnation is new.
-    bool set_incarnation(std::uint64_t incarnation);
-
-    /// \brief Forgets all chats.
+    /// \brief Forgets all chats: the engine has a new incarnation or lost its cache.
     void clear();
 
     /// \returns Number of chats held.
@@ -64,7 +60,6 @@
 
     std::uint64_t token_capacity_;
     std::uint64_t total_tokens_ = 0;
-    std::uint64_t incarnation_ = 0;
     std::vector<node> nodes_; // Node 0 is the ring's sentinel.
     std::vector<std::uint32_t> free_;
     boost::unordered_flat_map<std::uint64_t, std::uint32_t> slots_;
--- /dev/null
+++ b/tests/placement_test.cpp
@@ -0,0 +1,189 @@
+#include <catch2/catch.hpp>
+#include <endivestage/placement.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <list>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace endivestage;
+
+namespace
+{
+
+std::vector<pool_engine> random_engines()
+{
+    std::vector<pool_engine> engines;
+    const int count = *rc::gen::inRange(0, 20);
+    for (int n = 0; n < count; ++n)
+    {
+        const double capacity = *rc::gen::element(1.0, 1.0, 2.0, 3.5);
+        const auto zone = *rc::gen::inRange<std::uint32_t>(0, 4);
+        const bool usable = *rc::gen::inRange(0, 4) > 0;
+        engines.push_back({hash64("engine-" + std::to_string(n)), capacity, zone, usable});
+    }
+    return engines;
+}
+
+// The definition: rendezvous order of the usable engines, best engine of another zone second.
+std::vector<std::size_t> expected_ranks(std::uint64_t key, const std::vector<pool_engine>& engines)
+{
+    std::vector<weighted_node> nodes;
+    std::vector<std::size_t> positions;
+    for (std::size_t n = 0; n < engines.size(); ++n)
+    {
+        if (engines[n].usable)
+        {
+            nodes.push_back({engines[n].hash, engines[n].capacity});
+            positions.push_back(n);
+        }
+    }
+    std::vector<std::size_t> ranked;
+    for (const std::size_t n : rank_by_rendezvous(key, nodes, nodes.size()))
+    {
+        ranked.push_back(positions[n]);
+    }
+    if (ranked.empty())
+    {
+        return ranked;
+    }
+    auto other =
+        std::find_if(ranked.begin(), ranked.end(),
+                     [&](std::size_t n) { return engines[n].zone != engines[ranked[0]].zone; });
+    if (other != ranked.end())
+    {
+        std::rotate(ranked.begin() + 1, other, other + 1);
+    }
+    return ranked;
+}
+
+} // namespace
+
+// Guards against ranks that differ between routers, two first ranks in one zone, and work for
+// engines that are leaving.
+TEST_CASE("candidates are the usable engines in rendezvous order, the second in another zone")
+{
+    const bool holds =
+        rc::check("ranks equal the definition",
+                  [](std::uint64_t key)
+                  {
+                      const std::vector<pool_engine> engines = random_engines();
+                      const std::vector<std::size_t> expected = expected_ranks(key, engines);
+                      const auto limit = *rc::gen::inRange<std::size_t>(0, 8);
+                      const std::vector<std::size_t> ranked =
+                          candidate_ranking(engines).candidates(key, limit);
+                      RC_ASSERT(ranked.size() == std::min(limit, expected.size()));
+                      RC_ASSERT(std::equal(ranked.begin(), ranked.end(), expected.begin()));
+                  });
+    REQUIRE(holds);
+}
+
+// Guards against a leaving engine that moves the chats of others.
+TEST_CASE("an engine that becomes unusable moves only its own chats")
+{
+    std::vector<pool_engine> engines;
+    for (std::uint32_t n = 0; n < 9; ++n)
+    {
+        engines.push_back({hash64("engine-" + std::to_string(n)), 1.0, n % 4, true});
+    }
+    candidate_ranking ranking(engines);
+    std::vector<std::size_t> before;
+    for (std::uint64_t key = 0; key < 500; ++key)
+    {
+        before.push_back(ranking.candidates(hash64(std::to_string(key)), 1).front());
+    }
+    ranking.set_usable(3, false);
+    for (std::uint64_t key = 0; key < 500; ++key)
+    {
+        const std::size_t now = ranking.candidates(hash64(std::to_string(key)), 1).front();
+        REQUIRE(now != 3);
+        REQUIRE((before[key] == 3 || before[key] == now));
+    }
+    ranking.set_usable(3, true);
+    REQUIRE(ranking.candidates(hash64("0"), 1).front() == before[0]);
+}
+
+// Guards against unbounded memory and against eviction of chats in use.
+TEST_CASE("the recency index keeps the most recent chats within the token capacity")
+{
+    const bool holds =
+        rc::check("index equals a list kept in order of use",
+                  []
+                  {
+                      recency_index index(100);
+                      std::list<std::pair<std::uint64_t, std::uint32_t>> model; // Newest first.
+                      for (int n = 0; n < 200; ++n)
+                      {
+                          const auto key = *rc::gen::inRange<std::uint64_t>(0, 12);
+                          const auto tokens = *rc::gen::inRange<std::uint32_t>(0, 60);
+                          model.remove_if([&](const auto& it) { return it.first == key; });
+                          if (*rc::gen::inRange(0, 8) == 0)
+                          {
+                              index.erase(key);
+                          }
+                          else
+                          {
+                              index.put(key, tokens);
+                              model.emplace_front(key, tokens);
+                          }
+                          std::uint64_t sum = 0;
+                          model.remove_if([&](const auto& it)
+                                          { return it.second == 0 || (sum += it.second) > 100; });
+                          std::uint64_t total = 0;
+                          for (const auto& [chat, cached] : model)
+                          {
+                              RC_ASSERT(index.cached_tokens(chat) == cached);
+                              total += cached;
+                          }
+                          RC_ASSERT(index.size() == model.size());
+                          RC_ASSERT(index.total_tokens() == total);
+                      }
+                      index.clear();
+                      RC_ASSERT(index.size() == 0 && index.total_tokens() == 0);
+                  });
+    REQUIRE(holds);
+}
+
+// Guards against a chat sent away from its cache, or to the busier of two cold engines.
+TEST_CASE("the best offer has the longest cached prefix, else the lowest relative load")
+{
+    const placement_policy policy;
+    const std::vector<placement_offer> cold{
+        {0, 6, 9, 1.0, 0}, {1, 8, 18, 2.0, 0}, {2, 7, 9, 1.0, 0}};
+    REQUIRE(choose_offer(cold, 500, policy) == 1);
+    std::vector<placement_offer> warm = cold;
+    warm[2].cached_tokens = 500;
+    REQUIRE(choose_offer(warm, 500, policy) == 2);
+    warm[0].cached_tokens = 501;
+    REQUIRE(choose_offer(warm, 500, policy) == 0);
+    REQUIRE_FALSE(choose_offer({}, 0, policy));
+    placement_policy home = policy;
+    home.keep_home = true;
+    REQUIRE(choose_offer(cold, 500, home) == 0);
+    REQUIRE(choose_offer(cold, 0, home) == 1);
+}
+
+// Guards against a request refused while further engines have room, and against permits kept.
+TEST_CASE("an attempt falls back to further ranks, then waits, and returns unused offers")
+{
+    placement_attempt attempt({4, 2, 7, 1, 0}, 100, {});
+    placement_step step = attempt.start();
+    REQUIRE(step.what == placement_step::kind::ask);
+    REQUIRE(step.engines == std::vector<std::size_t>{4, 2, 7});
+    const std::vector<placement_answer> refused{{4, {}}, {2, {}}, {7, {}}};
+    step = attempt.answered(refused);
+    REQUIRE(step.what == placement_step::kind::ask);
+    REQUIRE(step.engines == std::vector<std::size_t>{1, 0});
+    placement_attempt other = attempt;
+    REQUIRE(other.answered({}).what == placement_step::kind::wait);
+
+    const std::vector<placement_answer> offered{{1, placement_offer{3, 5, 9, 1.0, 0}},
+                                                {0, placement_offer{4, 2, 9, 1.0, 0}}};
+    step = attempt.answered(offered);
+    REQUIRE(step.what == placement_step::kind::use);
+    REQUIRE(step.engines == std::vector<std::size_t>{0});
+    REQUIRE(step.release == std::vector<std::size_t>{1});
+    REQUIRE(placement_attempt({}, 0, {}).start().what == placement_step::kind::give_up);
+}
