--- /dev/null
+++ b/endivestage/ownership/owner_rebuild.hpp
@@ -0,0 +1,116 @@
+/// \file
+/// \brief What a new owner must learn before it issues permits (rule R6).
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <endivestage/core/clock.hpp>
+#include <endivestage/core/ids.hpp>
+#include <endivestage/ownership/messages.hpp>
+#include <endivestage/ownership/permit_stamp.hpp>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <vector>
+
+namespace endivestage
+{
+
+/// \brief A permit that a router holds and has not returned.
+struct held_permit
+{
+    permit_stamp stamp;
+    message_origin holder;
+};
+
+/// \brief What the previous owner knows about an engine that it gave up.
+struct owner_account
+{
+    std::uint64_t ended_in = 0; ///< From stopped_owning.
+    /// From stopped_owning, and its own rebuild was finished.
+    bool complete = false;
+    std::vector<held_permit> outstanding; ///< All permits that it issued and has not got back.
+    std::size_t unexplained = 0;          ///< Load that it counted without knowing the permits.
+};
+
+/// \brief Answer to the question which permits a router holds on an engine.
+///
+/// The router must have adopted the view of the question before it answers; otherwise it could
+/// accept a permit of the previous owner afterwards.
+struct held_answer
+{
+    message_origin from;
+    std::uint64_t view_number = 0; ///< The router's newest view when it answered.
+    std::vector<held_permit> permits;
+    std::optional<owner_account> account; ///< Set by a router that owned the engine before.
+};
+
+/// \brief Settings of the rebuild.
+struct rebuild_config
+{
+    millis time_to_use = permit_time_to_use;
+    millis report_lag{1000}; ///< Longest time until a request shows up in the engine's report.
+    millis resend{500};      ///< Questions without answer are repeated after this.
+};
+
+/// \brief Rebuilds a new owner's count of an engine. One per takeover.
+class owner_rebuild
+{
+public:
+    owner_rebuild(rebuild_config config, const became_owner& takeover);
+
+    /// \returns The routers to ask (again) now which permits they hold, with the question's view.
+    std::vector<member> tick(time_point now);
+
+    /// \brief Takes an answer. One given under an older view than the takeover's is ignored.
+    void on_answer(const held_answer& answer, time_point now);
+
+    /// \brief Takes the engine's load report.
+    /// \param load Requests that the engine reports as running or queued.
+    /// \param received When the report was received.
+    /// \param explained Outstanding permits that were certainly used before the state which the
+    /// report shows: the known ones of old owners, and own ones issued at least time_to_use +
+    /// report_lag before \p received. Counting younger ones would hide unexplained load.
+    void on_report(std::size_t load, time_point received, std::size_t explained);
+
+    /// \brief A run of a router has ended: its answer is not needed and its permits are gone.
+    void on_ended(const router_id& id, std::uint64_t incarnation);
+
+    /// \returns Whether the count is complete, so that permits may be issued.
+    bool complete() const { return complete_; }
+
+    /// \returns Permits of other owners that are known to be outstanding.
+    std::vector<held_permit> known() const;
+
+    /// \brief Takes the return of a known permit.
+    void on_returned(const permit_stamp& permit) { known_.erase(permit); }
+
+    /// \returns Load to count in addition to known and own permits; never grows once complete.
+    std::size_t unexplained() const { return unexplained_; }
+
+    /// \returns The view of the takeover.
+    const view& in() const { return *takeover_.in; }
+
+private:
+    struct asked_router
+    {
+        member who;
+        bool answered = false;
+        std::optional<time_point> asked_at;
+    };
+
+    void take_account(const owner_account& account);
+    bool late_enough(time_point received) const;
+    void check_answers();
+
+    rebuild_config config_;
+    became_owner takeover_;
+    std::vector<asked_router> routers_;
+    std::map<permit_stamp, message_origin> known_;
+    bool account_complete_ = false;
+    std::size_t unexplained_ = 0;
+    bool complete_ = false;
+};
+
+} // namespace endivestage
