--- a/endivestage/membership/failure_detector.hpp
+++ b/endivestage/membership/failure_detector.hpp
@@ -30,8 +30,11 @@
     std::size_t gossip_bytes = 1100;      ///< Most bytes of encoded gossip in one packet.
     millis hold_down{5000};               ///< First hold-down of a member that failed and returned.
     millis longest_hold_down{300000};     ///< Hold-down doubles with each failure up to this.
-    millis flap_memory{600000};   ///< A member without failure for this long is trusted again.
-    millis dead_retention{60000}; ///< A dead member is remembered, and probed rarely, this long.
+    millis flap_memory{600000};  ///< A member without failure for this long is trusted again.
+    std::size_t join_probes = 8; ///< Hosts never heard of that are probed in each period.
+    std::size_t dead_probe_interval = 5; ///< A dead router is probed once in this many periods.
+    millis dead_retention{
+        60000}; ///< A dead member is remembered, this long after it left the host list.
 };
 
 /// \brief A host of the platform's host list.
@@ -98,11 +101,17 @@
     /// \returns The newest announcement with this key that is known.
     std::optional<announcement> find_announcement(std::string_view key) const;
 
+    /// \brief Takes the members of an adopted view, which are believed alive until probes fail.
+    ///
+    /// A router that has just started learns its peers this way; call it before \ref live.
+    membership_actions learn(std::span<const member> members, time_point now);
+
     /// \brief The routers that should be members of a view, with this one, in order of their ids.
     ///
-    /// Alive and suspect routers whose hold-down is over. A router that is a member already and
-    /// was never declared dead has no hold-down.
-    std::vector<member> live(time_point now) const;
+    /// These are the alive and suspect routers, except those in hold-down.
+    /// \param in_view Members of the present view: hold-down delays joining only, so that routers
+    /// which counted failures differently do not remove and add a member in turn.
+    std::vector<member> live(time_point now, std::span<const member> in_view = {}) const;
 
     /// \returns The belief about a router; nothing when it is unknown or was never heard of.
     std::optional<member_update> find(const router_id& id) const;
--- /dev/null
+++ b/endivestage/ownership/internal/table_port.hpp
@@ -0,0 +1,54 @@
+/// \file
+/// \brief The one table operation that a view agent has in progress.
+#pragma once
+
+#include <cstdint>
+#include <endivestage/core/clock.hpp>
+#include <endivestage/core/table.hpp>
+#include <endivestage/ownership/messages.hpp>
+#include <optional>
+
+namespace endivestage::internal
+{
+
+/// \brief Issues operations on the view row one at a time and matches their outcomes.
+class table_port
+{
+public:
+    explicit table_port(millis timeout) : timeout_(timeout) {}
+
+    /// \returns Whether no operation is in progress. One without outcome is given up after the
+    /// timeout; it may still take effect, which the conditions of all operations allow for.
+    bool idle(time_point now) const { return !sent_ || now - *sent_ >= timeout_; }
+
+    /// \returns The action that runs the operation. Must be idle.
+    table_request start(table_operation operation, time_point now)
+    {
+        sent_ = now;
+        last_sent_ = now;
+        return {++token_, std::move(operation)};
+    }
+
+    /// \returns When the operation with this token was sent; nothing when it is not awaited.
+    std::optional<time_point> finish(std::uint64_t token)
+    {
+        if (token != token_ || !sent_)
+        {
+            return std::nullopt;
+        }
+        const std::optional<time_point> sent = sent_;
+        sent_.reset();
+        return sent;
+    }
+
+    /// \returns When the last operation was sent.
+    std::optional<time_point> last_sent() const { return last_sent_; }
+
+private:
+    millis timeout_;
+    std::uint64_t token_ = 0;
+    std::optional<time_point> sent_;
+    std::optional<time_point> last_sent_;
+};
+
+} // namespace endivestage::internal
--- /dev/null
+++ b/endivestage/ownership/internal/tenure.hpp
@@ -0,0 +1,42 @@
+/// \file
+/// \brief The engines that a router owns, and since when without interruption (rule R4).
+#pragma once
+
+#include <endivestage/core/clock.hpp>
+#include <endivestage/core/ids.hpp>
+#include <endivestage/ownership/messages.hpp>
+#include <map>
+#include <span>
+#include <vector>
+
+namespace endivestage::internal
+{
+
+/// \brief Follows which engines this router owns as views and engines change.
+class tenure
+{
+public:
+    explicit tenure(message_origin self) : self_(std::move(self)) {}
+
+    /// \brief Takes a newly adopted view.
+    /// \param before The view adopted before; null for the first.
+    void on_view(const view_pointer& before, const view_pointer& after, time_point now,
+                 view_actions& actions);
+
+    /// \brief Takes the engines of the region.
+    void set_endpoints(std::span<const endpoint_id> endpoints, const view_pointer& current,
+                       time_point now, view_actions& actions);
+
+    /// \returns Whether this router owns the engine.
+    bool owns(const endpoint_id& endpoint) const;
+
+private:
+    void begin(const endpoint_id& endpoint, const view_pointer& current, time_point now,
+               view_actions& actions);
+    bool is_self(const member* owner) const;
+
+    message_origin self_;
+    std::map<endpoint_id, bool> owned_; ///< All engines; true while this router owns it.
+};
+
+} // namespace endivestage::internal
--- a/endivestage/ownership/messages.hpp
+++ b/endivestage/ownership/messages.hpp
@@ -49,6 +49,7 @@
 {
     message_origin from;
     view_pointer announced;
+    router_id root; ///< Root of the push tree; empty when the receiver must not pass it on.
 };
 
 /// \brief Says that a router has learned a view and confirms no older one.
@@ -69,7 +70,7 @@
 template <class Message>
 struct send_message
 {
-    member to;
+    member to; ///< In answers only the id and incarnation are set; the address is the asker's.
     Message content;
 };
 
--- /dev/null
+++ b/endivestage/ownership/owner.cpp
@@ -0,0 +1,96 @@
+#include <endivestage/ownership/owner.hpp>
+
+#include <algorithm>
+#include <endivestage/core/hashing.hpp>
+#include <map>
+
+namespace endivestage
+{
+
+namespace
+{
+
+// Seeds make the rankings for different roles independent.
+constexpr std::uint64_t owner_seed = 1;
+constexpr std::uint64_t witness_seed = 2;
+constexpr std::uint64_t aggregator_seed = 3;
+
+template <class Filter>
+std::vector<member> ranked(std::span<const member> members, std::uint64_t key, std::size_t limit,
+                           Filter filter)
+{
+    std::vector<const member*> eligible;
+    std::vector<weighted_node> nodes;
+    for (const member& who : members)
+    {
+        if (filter(who))
+        {
+            eligible.push_back(&who);
+            nodes.push_back({hash64(who.id.view()), 1.0});
+        }
+    }
+    std::vector<member> result;
+    for (const std::size_t n : rank_by_rendezvous(key, nodes, limit))
+    {
+        result.push_back(*eligible[n]);
+    }
+    return result;
+}
+
+bool stays(const member& who)
+{
+    return !who.leaving;
+}
+
+} // namespace
+
+const member* owner_of(std::span<const member> members, const endpoint_id& endpoint)
+{
+    const std::uint64_t key = hash64(endpoint.view(), owner_seed);
+    const member* best = nullptr;
+    double best_score = 0.0;
+    for (const member& who : members)
+    {
+        const double score = who.leaving ? 0.0 : rendezvous_score(key, hash64(who.id.view()));
+        if (score > best_score)
+        {
+            best = &who;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+std::vector<member> owner_candidates(const view& in, const endpoint_id& endpoint, std::size_t limit)
+{
+    return ranked(in.members, hash64(endpoint.view(), owner_seed), limit, stays);
+}
+
+std::vector<member> witnesses_of(std::span<const member> members, const router_id& id)
+{
+    std::vector<member> others = ranked(members, hash64(id.view(), witness_seed), members.size(),
+                                        [&](const member& who) { return who.id != id; });
+    std::map<zone_id, std::size_t> picked;
+    if (const member* own = find_member(members, id))
+    {
+        picked[own->zone] = 1;
+    }
+    std::vector<member> witnesses;
+    while (witnesses.size() < witness_count && !others.empty())
+    {
+        const auto best = std::min_element(others.begin(), others.end(),
+                                           [&](const member& a, const member& b)
+                                           { return picked[a.zone] < picked[b.zone]; });
+        ++picked[best->zone];
+        witnesses.push_back(*best);
+        others.erase(best);
+    }
+    return witnesses;
+}
+
+std::vector<member> aggregators_of(const view& in, const pool_id& pool, std::size_t limit)
+{
+    return ranked(in.members, hash64(pool.view(), aggregator_seed), limit, stays);
+}
+
+} // namespace endivestage
--- a/endivestage/ownership/owner_rebuild.hpp
+++ b/endivestage/ownership/owner_rebuild.hpp
@@ -28,10 +28,9 @@
 struct owner_account
 {
     std::uint64_t ended_in = 0; ///< From stopped_owning.
-    /// From stopped_owning, and its own rebuild was finished.
+    /// From stopped_owning, and its own rebuild was settled. \sa owner_rebuild::settled
     bool complete = false;
-    std::vector<held_permit> outstanding; ///< All permits that it issued and has not got back.
-    std::size_t unexplained = 0;          ///< Load that it counted without knowing the permits.
+    std::vector<held_permit> outstanding; ///< All permits that it counts, of any owner.
 };
 
 /// \brief Answer to the question which permits a router holds on an engine.
@@ -50,8 +49,10 @@
 struct rebuild_config
 {
     millis time_to_use = permit_time_to_use;
-    millis report_lag{1000}; ///< Longest time until a request shows up in the engine's report.
-    millis resend{500};      ///< Questions without answer are repeated after this.
+    millis report_lag{
+        1000}; ///< Greatest age of the state that a report shows when it is asked for.
+    millis longest_request{600000}; ///< After this, no request of an earlier owner is left.
+    millis resend{500};             ///< Questions without answer are repeated after this.
 };
 
 /// \brief Rebuilds a new owner's count of an engine. One per takeover.
@@ -68,11 +69,12 @@
 
     /// \brief Takes the engine's load report.
     /// \param load Requests that the engine reports as running or queued.
-    /// \param received When the report was received.
-    /// \param explained Outstanding permits that were certainly used before the state which the
-    /// report shows: the known ones of old owners, and own ones issued at least time_to_use +
-    /// report_lag before \p received. Counting younger ones would hide unexplained load.
-    void on_report(std::size_t load, time_point received, std::size_t explained);
+    /// \param asked When the report was asked for, on the owner's clock. The time at which it was
+    /// read must not be used: the process may have been paused while the report waited.
+    /// \param own_used Outstanding permits of this owner that were issued at least time_to_use +
+    /// report_lag before \p asked. Younger ones must not be named: the report may not show them
+    /// yet, and they would hide unexplained load.
+    void on_report(std::size_t load, time_point asked, std::span<const permit_stamp> own_used);
 
     /// \brief A run of a router has ended: its answer is not needed and its permits are gone.
     void on_ended(const router_id& id, std::uint64_t incarnation);
@@ -83,11 +85,17 @@
     /// \returns Permits of other owners that are known to be outstanding.
     std::vector<held_permit> known() const;
 
-    /// \brief Takes the return of a known permit.
-    void on_returned(const permit_stamp& permit) { known_.erase(permit); }
+    /// \brief Takes the return of a permit on the engine, of whichever owner.
+    ///
+    /// A permit that explained a part of the last report may have ended before that report, so
+    /// its part counts as unexplained until the next report.
+    void on_returned(const permit_stamp& permit);
 
-    /// \returns Load to count in addition to known and own permits; never grows once complete.
-    std::size_t unexplained() const { return unexplained_; }
+    /// \returns Load to count in addition to known and own permits.
+    std::size_t unexplained() const;
+
+    /// \returns Whether certainly no load is left that no known or own permit explains.
+    bool settled() const;
 
     /// \returns The view of the takeover.
     const view& in() const { return *takeover_.in; }
@@ -100,16 +108,19 @@
         std::optional<time_point> asked_at;
     };
 
+    void take_permit(const held_permit& permit);
     void take_account(const owner_account& account);
-    bool late_enough(time_point received) const;
     void check_answers();
 
     rebuild_config config_;
     became_owner takeover_;
     std::vector<asked_router> routers_;
     std::map<permit_stamp, message_origin> known_;
+    std::set<permit_stamp> returned_; ///< An answer sent before the return may arrive after it.
     bool account_complete_ = false;
-    std::size_t unexplained_ = 0;
+    /// Load of the last report less the permits in explained_.
+    std::ptrdiff_t unexplained_ = 0;
+    std::set<permit_stamp> explained_; ///< Outstanding permits that the last report may show.
     bool complete_ = false;
 };
 
--- /dev/null
+++ b/endivestage/ownership/view.cpp
@@ -0,0 +1,138 @@
+#include <endivestage/ownership/view.hpp>
+
+#include <algorithm>
+#include <endivestage/membership/internal/member_json.hpp>
+#include <stdexcept>
+
+namespace endivestage
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+json::array members_to_json(std::span<const member> members)
+{
+    json::array array;
+    for (const member& who : members)
+    {
+        array.push_back(internal::member_to_json(who));
+    }
+    return array;
+}
+
+std::vector<member> members_from_json(const json::value& value)
+{
+    std::vector<member> members;
+    for (const json::value& it : value.as_array())
+    {
+        members.push_back(internal::member_from_json(it));
+    }
+    return members;
+}
+
+// The previous members are written as a difference, which halves the row at 400 members.
+json::object difference_to_json(const view& value)
+{
+    json::array added;
+    for (const member& who : value.members)
+    {
+        if (find_member(value.previous, who.id) == nullptr)
+        {
+            added.push_back(json::string(who.id.str()));
+        }
+    }
+    json::array changed;
+    for (const member& who : value.previous)
+    {
+        const member* now = find_member(value.members, who.id);
+        if (now == nullptr || *now != who)
+        {
+            changed.push_back(internal::member_to_json(who));
+        }
+    }
+    return {{"added", std::move(added)}, {"changed", std::move(changed)}};
+}
+
+std::vector<member> previous_from_json(const json::object& difference,
+                                       std::span<const member> members)
+{
+    std::vector<member> previous = members_from_json(difference.at("changed"));
+    const std::vector<member> changed = previous;
+    const json::array& added = difference.at("added").as_array();
+    for (const member& who : members)
+    {
+        const bool is_added =
+            std::any_of(added.begin(), added.end(),
+                        [&](const json::value& it) { return it.as_string() == who.id.str(); });
+        if (!is_added && find_member(changed, who.id) == nullptr)
+        {
+            previous.push_back(who);
+        }
+    }
+    std::sort(previous.begin(), previous.end(),
+              [](const member& a, const member& b) { return a.id < b.id; });
+    return previous;
+}
+
+view view_from_json(const json::value& value)
+{
+    const json::object& object = value.as_object();
+    view result;
+    result.number = internal::number_field(object, "number");
+    const std::string state = internal::string_field(object, "state");
+    if (state != "preparing" && state != "active")
+    {
+        throw std::invalid_argument("state");
+    }
+    result.state = state == "preparing" ? view_state::preparing : view_state::active;
+    result.region = region_id(internal::string_field(object, "region"));
+    result.members = members_from_json(object.at("members"));
+    result.previous = previous_from_json(object.at("previous").as_object(), result.members);
+    return result;
+}
+
+} // namespace
+
+bool newer(const view& a, const view& b)
+{
+    return a.number > b.number || (a.number == b.number && a.state == view_state::active &&
+                                   b.state == view_state::preparing);
+}
+
+const member* find_member(std::span<const member> members, const router_id& id)
+{
+    const auto it = std::find_if(members.begin(), members.end(),
+                                 [&](const member& who) { return who.id == id; });
+    return it == members.end() ? nullptr : &*it;
+}
+
+std::string view_key(const region_id& region)
+{
+    return "view/" + region.str();
+}
+
+std::string encode_view(const view& value)
+{
+    return json::serialize(
+        json::object{{"number", value.number},
+                     {"state", value.state == view_state::active ? "active" : "preparing"},
+                     {"region", value.region.str()},
+                     {"members", members_to_json(value.members)},
+                     {"previous", difference_to_json(value)}});
+}
+
+result<view> decode_view(std::string_view text)
+{
+    try
+    {
+        return view_from_json(json::parse(json::string_view(text.data(), text.size())));
+    }
+    catch (const std::exception&)
+    {
+        return make_error_code(errc::invalid_request);
+    }
+}
+
+} // namespace endivestage
--- /dev/null
+++ b/endivestage/ownership/view_agent.cpp
@@ -0,0 +1,504 @@
+#include <endivestage/ownership/view_agent.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <endivestage/core/hashing.hpp>
+#include <endivestage/membership/broadcast.hpp>
+#include <endivestage/ownership/internal/confirmation.hpp>
+#include <endivestage/ownership/internal/table_port.hpp>
+#include <endivestage/ownership/internal/tenure.hpp>
+#include <endivestage/ownership/internal/view_change.hpp>
+#include <endivestage/ownership/owner.hpp>
+
+namespace endivestage
+{
+
+namespace
+{
+
+member by_origin(const message_origin& from)
+{
+    member to;
+    to.id = from.id;
+    to.incarnation = from.incarnation;
+    return to;
+}
+
+} // namespace
+
+struct view_agent::impl
+{
+    impl(view_config settings, region_id in, member who)
+        : config(settings),
+          region(std::move(in)),
+          self(std::move(who)),
+          engines({self.id, self.incarnation}),
+          table(settings.table_timeout)
+    {
+    }
+
+    message_origin origin() const { return {self.id, self.incarnation}; }
+    bool is_member() const;
+    bool preparing() const { return current && current->state == view_state::preparing; }
+
+    void adopt(view_pointer found, time_point now, view_actions& actions);
+    void adopt_row(const table_row& row, time_point sent, time_point now, view_actions& actions);
+    void ask_witnesses(time_point now, view_actions& actions);
+    void read_row(time_point now, view_actions& actions);
+    void read_if_needed(time_point now, view_actions& actions);
+    void insert_first(time_point now, view_actions& actions);
+    void tell(const member& to, const router_id& root, view_actions& actions) const;
+    void push(const router_id& root, view_actions& actions) const;
+    void propose_if_due(time_point now, view_actions& actions);
+    void drive_if_due(time_point now, view_actions& actions);
+    void announce_pending(time_point now, view_actions& actions);
+    void replace_row(view next, time_point now, view_actions& actions);
+    void note_learned(const message_origin& from, std::uint64_t number, time_point now);
+    bool row_is_current() const { return row_version != 0 && row_of == current; }
+    bool has_difference() const;
+    std::optional<std::size_t> own_rank() const;
+
+    view_config config;
+    region_id region;
+    member self;
+
+    view_pointer current;
+    time_point adopted_at;
+    time_point number_since; ///< When a view with the present number was adopted first.
+    internal::confirmation confirmed;
+    internal::tenure engines;
+    std::optional<time_point> asked_at;
+
+    internal::table_port table;
+    std::uint64_t row_version = 0; ///< Version of the row while it held row_of.
+    view_pointer row_of;
+    bool row_missing = false;
+    bool read_wanted = false;
+
+    std::vector<member> wanted; ///< From the failure detector; empty before the first news.
+    std::optional<time_point> difference_since;
+    std::optional<internal::view_change> change; ///< Set while a view is being prepared.
+    bool driving = false;
+    std::optional<time_point> announced_at;
+};
+
+bool view_agent::impl::is_member() const
+{
+    const member* listed = current ? find_member(current->members, self.id) : nullptr;
+    return listed != nullptr && same_run(*listed, self);
+}
+
+// Takes a view that is or was in the row.
+void view_agent::impl::adopt(view_pointer found, time_point now, view_actions& actions)
+{
+    if (current && !newer(*found, *current))
+    {
+        return;
+    }
+    const view_pointer before = current;
+    current = std::move(found);
+    adopted_at = now;
+    difference_since.reset();
+    driving = false;
+    announced_at.reset();
+    change.reset();
+    if (preparing())
+    {
+        change.emplace(current, now);
+        change->note_learned(origin(), now);
+    }
+    actions.emplace_back(view_adopted{current});
+    engines.on_view(before, current, now, actions);
+    if (!before || before->number != current->number)
+    {
+        number_since = now;
+        confirmed.reset(is_member() ? witnesses_of(*current, self.id) : std::vector<member>());
+        ask_witnesses(now, actions);
+    }
+}
+
+// Takes a row that an operation sent at `sent` returned.
+void view_agent::impl::adopt_row(const table_row& row, time_point sent, time_point now,
+                                 view_actions& actions)
+{
+    const result<view> found = decode_view(row.value);
+    if (!found)
+    {
+        return; // Left to the operators: replacing a row that cannot be read could lose a view.
+    }
+    row_missing = false;
+    adopt(std::make_shared<const view>(*found), now, actions);
+    if (found->number == current->number && found->state == current->state)
+    {
+        row_version = row.version;
+        row_of = current;
+        confirmed.note_read(sent);
+    }
+}
+
+void view_agent::impl::ask_witnesses(time_point now, view_actions& actions)
+{
+    asked_at = now;
+    for (const member& witness : confirmed.witnesses())
+    {
+        const confirm_request question{origin(), static_cast<std::uint64_t>(now.since_epoch),
+                                       current->number, current->state};
+        actions.emplace_back(send_message<confirm_request>{witness, question});
+    }
+}
+
+void view_agent::impl::read_row(time_point now, view_actions& actions)
+{
+    if (table.idle(now))
+    {
+        read_wanted = false;
+        table_operation operation;
+        operation.key = view_key(region);
+        actions.emplace_back(table.start(std::move(operation), now));
+    }
+}
+
+void view_agent::impl::read_if_needed(time_point now, view_actions& actions)
+{
+    const std::optional<time_point> since = confirmed.since();
+    const bool unconfirmed = !current || !since || now - *since >= config.read_after;
+    const std::optional<time_point> last = table.last_sent();
+    const millis interval = read_wanted ? config.resend : config.confirm_period;
+    if ((unconfirmed || read_wanted) && (!last || now - *last >= interval))
+    {
+        read_row(now, actions);
+    }
+}
+
+void view_agent::impl::insert_first(time_point now, view_actions& actions)
+{
+    if (!row_missing || current || wanted.empty() || !table.idle(now))
+    {
+        return;
+    }
+    const view first{1, view_state::active, region, wanted, {}};
+    table_operation operation{table_operation::kind::insert, view_key(region), 0,
+                              encode_view(first)};
+    row_missing = false;
+    actions.emplace_back(table.start(std::move(operation), now));
+}
+
+void view_agent::impl::tell(const member& to, const router_id& root, view_actions& actions) const
+{
+    if (to.id != self.id)
+    {
+        actions.emplace_back(send_message<view_announce>{to, {origin(), current, root}});
+    }
+}
+
+void view_agent::impl::push(const router_id& root, view_actions& actions) const
+{
+    for (const member& child : broadcast_children(current->members, root, self.id))
+    {
+        tell(child, root, actions);
+    }
+}
+
+bool view_agent::impl::has_difference() const
+{
+    return !wanted.empty() && wanted != current->members;
+}
+
+// Position of this router in the order in which live routers propose; members come first.
+std::optional<std::size_t> view_agent::impl::own_rank() const
+{
+    std::vector<weighted_node> nodes;
+    for (const member& who : wanted)
+    {
+        const member* listed = find_member(current->members, who.id);
+        // The weight puts routers outside the view last in practice; any order is safe.
+        const bool inside = listed != nullptr && same_run(*listed, who);
+        nodes.push_back({hash64(who.id.view()), inside ? 1.0 : 1e-9});
+    }
+    const std::string key = std::to_string(current->number);
+    const std::vector<std::size_t> order = rank_by_rendezvous(hash64(key), nodes, nodes.size());
+    const auto it = std::find_if(order.begin(), order.end(),
+                                 [&](std::size_t n) { return wanted[n].id == self.id; });
+    if (it == order.end())
+    {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(it - order.begin());
+}
+
+void view_agent::impl::replace_row(view next, time_point now, view_actions& actions)
+{
+    if (!table.idle(now))
+    {
+        return;
+    }
+    if (!row_is_current())
+    {
+        read_wanted = true;
+        return;
+    }
+    table_operation operation{table_operation::kind::replace, view_key(region), row_version,
+                              encode_view(next)};
+    row_version = 0; // Unknown until the outcome.
+    actions.emplace_back(table.start(std::move(operation), now));
+}
+
+void view_agent::impl::propose_if_due(time_point now, view_actions& actions)
+{
+    if (!current || preparing())
+    {
+        return;
+    }
+    if (!has_difference())
+    {
+        difference_since.reset();
+        return;
+    }
+    if (!difference_since)
+    {
+        difference_since = now;
+    }
+    const std::optional<std::size_t> rank = own_rank();
+    if (rank && now - *difference_since >= config.takeover * static_cast<std::int64_t>(*rank))
+    {
+        replace_row({current->number + 1, view_state::preparing, region, wanted, current->members},
+                    now, actions);
+    }
+}
+
+void view_agent::impl::drive_if_due(time_point now, view_actions& actions)
+{
+    if (!preparing())
+    {
+        return;
+    }
+    const std::optional<std::size_t> rank = own_rank();
+    driving = driving ||
+              (rank && now - adopted_at >= config.takeover * static_cast<std::int64_t>(*rank + 1));
+    if (!driving)
+    {
+        return;
+    }
+    announce_pending(now, actions);
+    const std::optional<time_point> ready =
+        change->ready_at(config.confirmation_lifetime + config.margin);
+    if (ready && *ready <= now)
+    {
+        view next = *current;
+        next.state = view_state::active;
+        replace_row(std::move(next), now, actions);
+    }
+}
+
+void view_agent::impl::announce_pending(time_point now, view_actions& actions)
+{
+    if (announced_at && now - *announced_at < config.resend)
+    {
+        return;
+    }
+    announced_at = now;
+    for (const member& who : change->pending())
+    {
+        tell(who, {}, actions);
+    }
+}
+
+void view_agent::impl::note_learned(const message_origin& from, std::uint64_t number,
+                                    time_point now)
+{
+    if (change && number >= current->number)
+    {
+        change->note_learned(from, now);
+    }
+}
+
+view_agent::view_agent(view_config config, region_id region, member self)
+    : impl_(std::make_unique<impl>(config, std::move(region), std::move(self)))
+{
+}
+
+view_agent::view_agent(view_agent&&) noexcept = default;
+view_agent& view_agent::operator=(view_agent&&) noexcept = default;
+view_agent::~view_agent() = default;
+
+view_actions view_agent::tick(time_point now)
+{
+    view_actions actions;
+    if (current() && (!impl_->asked_at || now - *impl_->asked_at >= impl_->config.confirm_period))
+    {
+        impl_->ask_witnesses(now, actions);
+    }
+    impl_->insert_first(now, actions);
+    impl_->propose_if_due(now, actions);
+    impl_->drive_if_due(now, actions);
+    impl_->read_if_needed(now, actions);
+    return actions;
+}
+
+view_actions view_agent::on_table_result(std::uint64_t token, const table_result& outcome,
+                                         time_point now)
+{
+    view_actions actions;
+    const std::optional<time_point> sent = impl_->table.finish(token);
+    if (!sent)
+    {
+        return actions;
+    }
+    if (outcome.what == table_result::outcome::not_found)
+    {
+        impl_->row_missing = true;
+        impl_->insert_first(now, actions);
+    }
+    const bool applied = outcome.what == table_result::outcome::applied;
+    if (applied || outcome.what == table_result::outcome::conflict)
+    {
+        const view_pointer before = impl_->current;
+        impl_->adopt_row(outcome.row, *sent, now, actions);
+        if (impl_->current != before)
+        {
+            // Whoever sees a new view in the row first pushes it; several trees do no harm.
+            impl_->driving = impl_->preparing() && applied && before != nullptr;
+            impl_->push(impl_->self.id, actions);
+        }
+    }
+    impl_->propose_if_due(now, actions);
+    impl_->drive_if_due(now, actions);
+    return actions;
+}
+
+view_actions view_agent::on_message(const confirm_request& message, time_point now)
+{
+    view_actions actions;
+    impl_->note_learned(message.from, message.number, now);
+    confirm_answer answer{impl_->origin(), message.from.incarnation, message.question, 0, true, {}};
+    const view_pointer& newest = impl_->current;
+    if (newest)
+    {
+        answer.number = newest->number;
+        answer.confirmed = newest->number <= message.number;
+        if (newest->number > message.number ||
+            (newest->number == message.number && newest->state != message.state &&
+             newest->state == view_state::active))
+        {
+            answer.newest = newest;
+        }
+    }
+    actions.emplace_back(send_message<confirm_answer>{by_origin(message.from), std::move(answer)});
+    return actions;
+}
+
+view_actions view_agent::on_message(const confirm_answer& message, time_point now)
+{
+    view_actions actions;
+    if (message.asked_by != impl_->self.incarnation || !impl_->current)
+    {
+        return actions;
+    }
+    if (message.newest)
+    {
+        impl_->adopt(message.newest, now, actions);
+    }
+    const time_point sent{static_cast<std::int64_t>(message.question)};
+    const view& newest = *impl_->current;
+    if (message.confirmed && message.number <= newest.number && sent >= impl_->number_since)
+    {
+        impl_->confirmed.note_answer(message.from, sent);
+    }
+    if (message.number < newest.number)
+    {
+        impl_->tell(by_origin(message.from), {}, actions);
+    }
+    return actions;
+}
+
+view_actions view_agent::on_message(const view_announce& message, time_point now)
+{
+    view_actions actions;
+    const view_pointer before = impl_->current;
+    impl_->adopt(message.announced, now, actions);
+    if (impl_->current != before && !message.root.empty())
+    {
+        impl_->push(message.root, actions);
+    }
+    // Only the driver collects acknowledgements, and it tells those whose it needs directly.
+    if (message.root.empty())
+    {
+        actions.emplace_back(send_message<view_acknowledgement>{
+            by_origin(message.from), {impl_->origin(), impl_->current->number}});
+    }
+    return actions;
+}
+
+view_actions view_agent::on_message(const view_acknowledgement& message, time_point now)
+{
+    view_actions actions;
+    impl_->note_learned(message.from, message.number, now);
+    impl_->drive_if_due(now, actions);
+    return actions;
+}
+
+view_actions view_agent::on_membership(std::span<const member> live, time_point now)
+{
+    assert(find_member(live, impl_->self.id) != nullptr);
+    impl_->wanted.assign(live.begin(), live.end());
+    std::sort(impl_->wanted.begin(), impl_->wanted.end(),
+              [](const member& a, const member& b) { return a.id < b.id; });
+    view_actions actions;
+    impl_->propose_if_due(now, actions);
+    return actions;
+}
+
+view_actions view_agent::on_view_number(std::uint64_t number, time_point now)
+{
+    view_actions actions;
+    if (!impl_->current || number > impl_->current->number)
+    {
+        impl_->read_wanted = true;
+        impl_->read_if_needed(now, actions);
+    }
+    return actions;
+}
+
+view_actions view_agent::on_ended(const router_id& id, std::uint64_t incarnation, time_point now)
+{
+    view_actions actions;
+    if (impl_->current)
+    {
+        impl_->note_learned({id, incarnation}, impl_->current->number, now);
+    }
+    impl_->drive_if_due(now, actions);
+    return actions;
+}
+
+view_actions view_agent::set_endpoints(std::span<const endpoint_id> endpoints, time_point now)
+{
+    view_actions actions;
+    impl_->engines.set_endpoints(endpoints, impl_->current, now, actions);
+    return actions;
+}
+
+std::error_code view_agent::may_issue(const endpoint_id& endpoint, time_point now) const
+{
+    if (!impl_->engines.owns(endpoint))
+    {
+        return make_error_code(errc::not_owner);
+    }
+    const std::optional<time_point> since = impl_->confirmed.since();
+    if (!since || now - *since > impl_->config.confirmation_lifetime)
+    {
+        return make_error_code(errc::unconfirmed_view);
+    }
+    return {};
+}
+
+view_pointer view_agent::current() const
+{
+    return impl_->current;
+}
+
+bool view_agent::drives_change() const
+{
+    return impl_->driving;
+}
+
+} // namespace endivestage
