--- a/endivestage/ownership/internal/json_implementation.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-// The one translation unit that holds the definitions of Boost.JSON.
-#include <boost/json/src.hpp>
