Declare the configuration, zone, endpoint and address modules

Cause: the daemon needs the public types of these four modules before their rules are complete.

Change: adds the umbrella headers and the public headers of the modules.

No source file defines the functions yet.

Conclusion: other modules can be written against these types; definitions follow per module.

--- /dev/null
+++ b/endivestage/configuration/merge.hpp
@@ -0,0 +1,40 @@
+/// \file
+/// \brief Merge of configuration files into one validated configuration.
+#pragma once
+
+#include <endivestage/configuration/fault.hpp>
+#include <endivestage/configuration/model.hpp>
+
+#include <span>
+#include <string>
+#include <vector>
+
+namespace endivestage
+{
+
+/// \brief A named JSON document.
+struct configuration_file
+{
+    std::string name;
+    std::string content;
+};
+
+/// \brief Outcome of a merge.
+struct configuration_merge
+{
+    fleet_configuration configuration;       ///< Valid only when there are no faults.
+    std::vector<configuration_fault> faults; ///< In order of file and path.
+
+    /// \returns Whether the files form a valid configuration.
+    bool ok() const { return faults.empty(); }
+};
+
+/// \brief Merges files in order of their names and validates the whole.
+///
+/// Objects are merged by key as in RFC 7396 (JSON Merge Patch): a later file overrides or extends
+/// an entry by its id and null removes it. Lists are replaced as a whole.
+/// \param files In any order; names must differ.
+/// \returns The configuration with version 0, or every fault found.
+configuration_merge merge_configuration(std::span<const configuration_file> files);
+
+} // namespace endivestage
--- /dev/null
+++ b/endivestage/endpoint/lease.hpp
@@ -0,0 +1,79 @@
+/// \file
+/// \brief A lease row in the table service with a fencing number.
+#pragma once
+
+#include <endivestage/core/clock.hpp>
+#include <endivestage/core/ids.hpp>
+#include <endivestage/core/table.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace endivestage
+{
+
+/// \brief Times of a lease.
+struct lease_settings
+{
+    millis duration{10'000}; ///< Counted from the moment the write was sent.
+    millis renew{3'000};     ///< Interval of renewals while held, and of reads while not held.
+    millis margin{1'000};    ///< The holder stops this long before the end; others wait it longer.
+};
+
+/// \brief Keeps or waits for one lease.
+///
+/// Clocks of two routers are not compared: a successor counts the lease from the moment it first
+/// read the present row version, which is never before the holder sent it.
+class lease_keeper
+{
+public:
+    /// \param key Row key of the lease.
+    /// \param self The router that wants the lease.
+    lease_keeper(std::string key, router_id self, lease_settings settings = {});
+
+    /// \returns The next operation for the table, if any; at most one is outstanding.
+    std::optional<table_operation> tick(time_point now);
+
+    /// \brief Input: the answer to the outstanding operation.
+    void on_table_result(const table_result& answer, time_point now);
+
+    /// \returns Whether orders may be sent at \p now: held, and not within the margin of its end.
+    bool held(time_point now) const;
+
+    /// \returns The number of the present or last tenure; grows with each take-over. 0: none yet.
+    std::uint64_t fencing() const { return fencing_; }
+
+private:
+    enum class waiting
+    {
+        nothing,
+        read,
+        take,
+        renew,
+    };
+
+    table_operation send(waiting what, table_operation operation, time_point now);
+    table_operation take_over(time_point now);
+    table_operation renew(time_point now);
+    bool may_take(time_point now) const;
+    void on_read(const table_result& answer, time_point now);
+    void on_write(const table_result& answer, time_point now);
+    void see(const table_row& row, time_point now);
+    void hold(const table_row& row, time_point sent);
+
+    std::string key_;
+    router_id self_;
+    lease_settings settings_;
+    waiting waiting_ = waiting::nothing;
+    time_point sent_;
+    std::optional<time_point> next_;
+    std::optional<table_row> seen_; ///< Row last read; version 0 when there is none.
+    time_point seen_since_;         ///< When this row version was first read.
+    std::string written_;           ///< Value of a write whose outcome is not known.
+    time_point written_at_;
+    std::optional<time_point> held_from_;
+    std::uint64_t fencing_ = 0;
+};
+
+} // namespace endivestage
