--- /dev/null
+++ b/endivestage/daemon/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
