--- a/endivestage/admission/permit.hpp
+++ b/endivestage/admission/permit.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <endivestage/core.hpp>
+#include <endivestage/ownership/permit_stamp.hpp>
 
 #include <compare>
 #include <cstdint>
@@ -12,9 +13,6 @@
 namespace endivestage
 {
 
-/// \brief Time after the permit request was sent within which the holder may use the permit.
-inline constexpr millis permit_time_to_use{1000};
-
 /// \brief Identifies a permit among all permits ever issued for an engine.
 struct permit_key
 {
--- a/endivestage/ownership/owner_rebuild.cpp
+++ b/endivestage/ownership/owner_rebuild.cpp
@@ -56,7 +56,7 @@
             it.answered = true;
         }
     }
-    for (const held_permit& permit : answer.permits)
+    for (const outstanding_permit& permit : answer.permits)
     {
         take_permit(permit);
     }
@@ -69,7 +69,7 @@
     check_answers();
 }
 
-void owner_rebuild::take_permit(const held_permit& permit)
+void owner_rebuild::take_permit(const outstanding_permit& permit)
 {
     // The owner keeps count of the permits that it issued itself, also those of an earlier tenure.
     const member* self = owner_of(*takeover_.in, takeover_.endpoint);
@@ -88,7 +88,7 @@
         return;
     }
     account_complete_ = true;
-    for (const held_permit& permit : account.outstanding)
+    for (const outstanding_permit& permit : account.outstanding)
     {
         // The holder's own answer decides for the routers that are asked. Routers that left the
         // view earlier are known to the previous owner only.
@@ -145,7 +145,7 @@
     {
         it.answered = it.answered || (it.who.id == id && it.who.incarnation <= incarnation);
     }
-    for (const held_permit& permit : known())
+    for (const outstanding_permit& permit : known())
     {
         if (permit.holder.id == id && permit.holder.incarnation <= incarnation)
         {
@@ -155,9 +155,9 @@
     check_answers();
 }
 
-std::vector<held_permit> owner_rebuild::known() const
+std::vector<outstanding_permit> owner_rebuild::known() const
 {
-    std::vector<held_permit> permits;
+    std::vector<outstanding_permit> permits;
     for (const auto& [stamp, holder] : known_)
     {
         permits.push_back({stamp, holder});
--- a/endivestage/ownership/owner_rebuild.hpp
+++ b/endivestage/ownership/owner_rebuild.hpp
@@ -18,7 +18,7 @@
 {
 
 /// \brief A permit that a router holds and has not returned.
-struct held_permit
+struct outstanding_permit
 {
     permit_stamp stamp;
     message_origin holder;
@@ -30,7 +30,7 @@
     std::uint64_t ended_in = 0; ///< From stopped_owning.
     /// From stopped_owning, and its own rebuild was settled. \sa owner_rebuild::settled
     bool complete = false;
-    std::vector<held_permit> outstanding; ///< All permits that it counts, of any owner.
+    std::vector<outstanding_permit> outstanding; ///< All permits that it counts, of any owner.
 };
 
 /// \brief Answer to the question which permits a router holds on an engine.
@@ -41,7 +41,7 @@
 {
     message_origin from;
     std::uint64_t view_number = 0; ///< The router's newest view when it answered.
-    std::vector<held_permit> permits;
+    std::vector<outstanding_permit> permits;
     std::optional<owner_account> account; ///< Set by a router that owned the engine before.
 };
 
@@ -83,7 +83,7 @@
     bool complete() const { return complete_; }
 
     /// \returns Permits of other owners that are known to be outstanding.
-    std::vector<held_permit> known() const;
+    std::vector<outstanding_permit> known() const;
 
     /// \brief Takes the return of a permit on the engine, of whichever owner.
     ///
@@ -108,7 +108,7 @@
         std::optional<time_point> asked_at;
     };
 
-    void take_permit(const held_permit& permit);
+    void take_permit(const outstanding_permit& permit);
     void take_account(const owner_account& account);
     void check_answers();
 
