--- a/endivestage/configuration/replica.hpp
+++ b/endivestage/configuration/replica.hpp
@@ -116,27 +116,32 @@
 
     struct body_fetch
     {
-        std::optional<configuration_source> source;
+        bool outstanding = false;
         time_point sent;
+        std::size_t attempt = 0;
     };
 
-    bool starting() const { return !served_; }
-    bool any_answer(answer value) const;
+    bool starting() const { return current_ == nullptr; }
+    std::uint64_t have() const;
+    bool any(answer value) const;
     void ask(std::vector<replica_action>& actions, time_point now);
+    void give_up_on_silent(time_point now);
     void raise(const configuration_source& source, const configuration_stamp& stamp);
     void fetch(std::vector<replica_action>& actions, time_point now);
-    std::optional<configuration_source> next_source() const;
-    void accept(const configuration_stamp& stamp, fleet_configuration configuration);
+    configuration_source next_source();
+    bool accept(const configuration_stamp& stamp, std::string_view body);
     void adopt_if_allowed(std::vector<replica_action>& actions);
+    std::vector<replica_action> proceed(time_point now);
 
     millis retry_;
-    bool served_ = false;
     std::map<configuration_source, answer> asked_;
     time_point asked_at_;
     configuration_stamp highest_;
     configuration_stamp in_force_;
     std::vector<configuration_source> holders_; ///< Sources that named the highest stamp.
     body_fetch fetch_;
+    configuration_stamp pending_stamp_; ///< Of a body that is here and not yet in force.
+    std::shared_ptr<const fleet_configuration> pending_;
     std::shared_ptr<const fleet_configuration> current_;
 };
 
