--- a/endivestage/zone/table.hpp
+++ b/endivestage/zone/table.hpp
@@ -44,7 +44,7 @@
 class zone_table
 {
 public:
-    /// \param retry Interval after which an unanswered or failed write is repeated; positive.
+    /// \param retry Interval after which a failed or lost operation is repeated; positive.
     explicit zone_table(millis retry = {1'000}) : retry_(retry) {}
 
     /// \brief Input: an operator's change at this router. Counts one past the present register.
@@ -55,7 +55,8 @@
     /// \returns A spread_zone when it changed anything, so that news travels on.
     std::vector<zone_action> merge(const zone_register& value);
 
-    /// \brief Input: the answer to a call_zone_table.
+    /// \brief Input: the answer to a call_zone_table. Each one must be answered; an operation
+    ///     without an answer counts as lost.
     std::vector<zone_action> on_table_result(const zone_id& zone, const table_result& answer,
                                              time_point now);
 
@@ -87,13 +88,15 @@
         bool row_known = false;        ///< Whether row_version is the result of an answer.
         bool must_store = false;
         bool in_flight = false;
+        bool reading = false;  ///< Whether the outstanding operation is a read.
         zone_register written; ///< Register of the outstanding write.
         time_point sent;
     };
 
     slot& slot_of(const zone_id& zone);
     void learn_row(slot& entry, const table_row& row, std::vector<zone_action>& actions);
-    void take(slot& entry, const zone_register& value, std::vector<zone_action>& actions);
+    void learn_absence(slot& entry);
+    void on_applied(slot& entry, const table_result& answer, std::vector<zone_action>& actions);
     void store(slot& entry, std::vector<zone_action>& actions, time_point now);
 
     millis retry_;
