Add endpoint registry, lease and order controller

Change: endpoint_registry combines configuration, host list, zone registers, suspicion and flap damping; leaving overrides everything else until the host is replaced. lease_keeper holds a table row by compare-and-set without comparing clocks of two routers, with a fencing number per tenure. order_controller drives reported states to their targets and spaces weight loads.

--- a/endivestage/endpoint/lease.hpp
+++ b/endivestage/endpoint/lease.hpp
@@ -41,6 +41,9 @@
     /// \returns Whether orders may be sent at \p now: held, and not within the margin of its end.
     bool held(time_point now) const;
 
+    /// \returns When held turns false without a renewal. Precondition: held.
+    time_point end() const;
+
     /// \returns The number of the present or last tenure; grows with each take-over. 0: none yet.
     std::uint64_t fencing() const { return fencing_; }
 
@@ -49,29 +52,26 @@
     {
         nothing,
         read,
-        take,
-        renew,
+        write,
     };
 
-    table_operation send(waiting what, table_operation operation, time_point now);
-    table_operation take_over(time_point now);
-    table_operation renew(time_point now);
+    table_operation read();
+    table_operation write(std::uint64_t fencing, time_point now);
+    bool own(const table_row& row) const;
     bool may_take(time_point now) const;
-    void on_read(const table_result& answer, time_point now);
-    void on_write(const table_result& answer, time_point now);
-    void see(const table_row& row, time_point now);
-    void hold(const table_row& row, time_point sent);
+    void settle(const table_row& row, time_point now);
 
     std::string key_;
     router_id self_;
     lease_settings settings_;
     waiting waiting_ = waiting::nothing;
-    time_point sent_;
-    std::optional<time_point> next_;
+    time_point next_;
     std::optional<table_row> seen_; ///< Row last read; version 0 when there is none.
     time_point seen_since_;         ///< When this row version was first read.
-    std::string written_;           ///< Value of a write whose outcome is not known.
+    bool unsettled_ = false;        ///< Whether the outcome of the last write is not known.
+    std::string written_;           ///< Value of the last write.
     time_point written_at_;
+    std::uint64_t writes_ = 0; ///< Numbers the writes, to know which one the row holds.
     std::optional<time_point> held_from_;
     std::uint64_t fencing_ = 0;
 };
--- a/endivestage/endpoint/orders.hpp
+++ b/endivestage/endpoint/orders.hpp
@@ -104,7 +104,7 @@
     /// \brief Input: an order was answered.
     /// \param code errc::ok when accepted; errc::stale_fencing_token when the endpoint knows a
     ///     higher number, after which nothing is sent to it until the lease is taken anew.
-    void on_order_result(const endpoint_id& endpoint, errc code, time_point now);
+    void on_order_result(const endpoint_id& endpoint, errc code);
 
     /// \returns Whether this router may send orders at \p now.
     bool leading(time_point now) const { return lease_.held(now); }
@@ -119,8 +119,8 @@
         std::optional<endpoint_report> report; ///< Read in the present tenure.
         std::optional<time_point> read_at;
         std::optional<time_point> ordered_at;
-        bool load_booked = false; ///< The weight budget of the present load is already spent.
-        std::uint64_t refused_fencing = 0;
+        bool load_booked = false; ///< The load in progress is already in the weight budget.
+        bool refused = false;     ///< The endpoint knows a higher fencing number than this tenure.
     };
 
     void begin_tenure(time_point now);
@@ -128,16 +128,17 @@
                      time_point now) const;
     void order_if_due(const endpoint_id& id, target& entry, std::vector<order_action>& actions,
                       time_point now);
+    static bool matches(const target& entry);
     bool needs_order(const target& entry, time_point now) const;
-    bool book_load(target& entry, time_point now);
-    millis load_time(std::uint64_t bytes) const;
-    bool all_read() const;
+    bool may_load(time_point now) const;
+    void book_load(target& entry, time_point now);
 
     order_settings settings_;
     lease_keeper lease_;
     std::map<endpoint_id, target> targets_;
-    std::uint64_t tenure_ = 0; ///< Fencing number that the targets' reports belong to.
-    time_point next_load_;     ///< The weight store's share is booked up to here.
+    std::uint64_t tenure_ = 0; ///< Fencing number of the tenure that the reports belong to.
+    time_point tenure_began_;
+    time_point next_load_; ///< The weight store's share is booked up to here.
 };
 
 } // namespace endivestage
--- a/endivestage/endpoint/registry.hpp
+++ b/endivestage/endpoint/registry.hpp
@@ -121,7 +121,6 @@
         std::optional<time_point> connection_failed;
         bool suspected = false;
         bool announced_leaving = false;
-        std::uint64_t announced_start = 0; ///< Start of its host when it announced leaving.
         std::uint32_t failures = 0;
         std::optional<time_point> last_failure;
         std::optional<time_point> held_until;
@@ -137,13 +136,16 @@
     void insert(std::map<endpoint_id, endpoint_health>& next, const endpoint_entry& entry) const;
     endpoint_health* find(const endpoint_id& id);
     const known_host* host_of(const endpoint_health& health) const;
+    bool is_leaving(const endpoint_health& health) const;
+    bool is_gone(const endpoint_health& health) const;
+    void record(endpoint_health& health, std::optional<time_point>& failed, bool success,
+                time_point now) const;
     void count_failure(endpoint_health& health, time_point now) const;
     void hold_down(endpoint_health& health, time_point now) const;
     void suspect_if_both_failed(endpoint_health& health, time_point now) const;
-    void clear_suspicion(endpoint_health& health, time_point now) const;
     void update_host(const host_entry& entry, time_point now);
     void mark_missing(const host_list& reading, time_point now);
-    void on_host_returned(const std::string& host, std::uint64_t start, time_point now);
+    void on_host_returned(const std::string& host, time_point now);
     void on_host_gone(const std::string& host, time_point now);
     endpoint_status status_of(const endpoint_health& health, const zone_table& zones,
                               time_point now) const;
