--- a/endivestage/address/planned_stop.hpp
+++ b/endivestage/address/planned_stop.hpp
@@ -60,7 +60,9 @@
 {
     std::size_t open_requests = 0;
     std::size_t permits = 0; ///< Held by this router on any engine.
-    bool in_view = true;     ///< Whether the active view still has this router as a member.
+    /// Whether another router must still take over from this one in the view. False also for the
+    /// only member, whose place nobody can take.
+    bool in_view = true;
 };
 
 /// \brief State machine of section 2.10 of the design page.
