--- a/endivestage/daemon/admission_service.cpp
+++ b/endivestage/daemon/admission_service.cpp
@@ -344,7 +344,7 @@
             json::object body{{"engine", message.engine.str()},
                               {"request", message.request.request.str()},
                               {"renewal", renewal}};
-            co_await node_.rpc.call({owner.host, owner.port}, "/permit/renew", std::move(body),
+            co_await node_.rpc.call(peer_address_of(owner), "/permit/renew", std::move(body),
                                     peer_timeout);
         }
     }
@@ -359,7 +359,7 @@
     const millis timeout = message.request.wait_allowed ? std::max(peer_timeout, message.remaining)
                                                         : std::min(peer_timeout, message.remaining);
     json::object body = encode(message);
-    co_return co_await node_.rpc.call({owner.host, owner.port}, "/permit/acquire", std::move(body),
+    co_return co_await node_.rpc.call(peer_address_of(owner), "/permit/acquire", std::move(body),
                                       timeout);
 }
 
@@ -669,7 +669,7 @@
         co_return held_on(engine);
     }
     json::object body{{"engine", engine.str()}, {"view", view_number}};
-    const rpc_answer answer = co_await node_.rpc.call({who.host, who.port}, "/permit/held",
+    const rpc_answer answer = co_await node_.rpc.call(peer_address_of(who), "/permit/held",
                                                       std::move(body), peer_timeout);
     if (!answer)
     {
@@ -794,7 +794,7 @@
     }
     json::object body{{"pool", pool.str()}, {"view", view_number}, {"loads", encode(loads)}};
     const rpc_answer answer =
-        co_await node_.rpc.call({aggregator.host, aggregator.port}, "/load/digest", std::move(body),
+        co_await node_.rpc.call(peer_address_of(aggregator), "/load/digest", std::move(body),
                                 node_.settings.timing.digest_period * 2);
     co_return answer ? decode_mean(*answer) : std::nullopt;
 }
--- a/endivestage/daemon/caller_api.cpp
+++ b/endivestage/daemon/caller_api.cpp
@@ -23,6 +23,7 @@
 constexpr std::uint32_t default_max_tokens = 256;
 constexpr std::uint32_t highest_max_tokens = 32768;
 constexpr std::size_t max_id_bytes = 128;
+constexpr millis retry_pause{1000};
 
 bool is_valid_id(std::string_view text)
 {
@@ -60,13 +61,14 @@
     return value;
 }
 
-caller_error invalid(std::string reason)
-{
-    return {errc::invalid_request, execution::not_run, std::move(reason), {}};
-}
-
-awaitable<void> refuse(response_writer& writer, caller_error error)
+awaitable<void> refuse(response_writer& writer, errc code, execution ran, std::string reason,
+                       std::optional<millis> retry_after = std::nullopt)
 {
+    caller_error error;
+    error.code = code;
+    error.ran = ran;
+    error.reason = std::move(reason);
+    error.retry_after = retry_after;
     http_response response = make_error_response(error);
     co_await writer.send(std::move(response));
 }
@@ -137,10 +139,9 @@
     const std::string& resource = target.segments[1];
     if (configuration_.state() != replica_state::ready)
     {
-        co_await refuse(writer,
-                        {errc::store_unavailable, execution::not_run,
-                         "no configuration yet: " + std::string(to_string(configuration_.state())),
-                         millis{1000}});
+        co_await refuse(writer, errc::store_unavailable, execution::not_run,
+                        "no configuration yet: " + std::string(to_string(configuration_.state())),
+                        retry_pause);
         co_return;
     }
     if (resource == "addresses" && request.method == "GET")
@@ -167,7 +168,7 @@
     }
     else
     {
-        co_await refuse(writer, {errc::not_found, execution::not_run, "no such resource", {}});
+        co_await refuse(writer, errc::not_found, execution::not_run, "no such resource");
     }
 }
 
@@ -268,31 +269,31 @@
     result<caller_identity> identity = identify(request);
     if (!identity)
     {
-        co_await refuse(writer, {to_errc(identity.error()),
-                                 execution::not_run,
-                                 "check X-Team, its token, X-Priority, X-Deadline-Ms, X-Request-Id",
-                                 {}});
+        co_await refuse(writer, to_errc(identity.error()), execution::not_run,
+                        "check X-Team, its token, X-Priority, X-Deadline-Ms, X-Request-Id");
         co_return;
     }
     const result<json::object> body = parse_json_object(request.body);
     chat_request wanted;
     if (!body || !is_valid_id(target.segments[2]) || !read_messages(*body, wanted))
     {
-        co_await refuse(writer, invalid("expected a JSON object with pool and messages, each "
-                                        "message with content"));
+        co_await refuse(writer, errc::invalid_request, execution::not_run,
+                        "expected a JSON object with pool and messages, each "
+                        "message with content");
         co_return;
     }
     wanted.placement.pool = pool_id(get_text(*body, "pool"));
     const std::shared_ptr<const fleet_configuration> configuration = configuration_.current();
     if (configuration->find(wanted.placement.pool) == nullptr)
     {
-        co_await refuse(writer, {errc::not_found, execution::not_run, "no such pool", {}});
+        co_await refuse(writer, errc::not_found, execution::not_run, "no such pool");
         co_return;
     }
     const std::int64_t tokens = get_number(*body, "max_tokens", default_max_tokens);
     if (tokens <= 0 || tokens > highest_max_tokens)
     {
-        co_await refuse(writer, invalid("max_tokens must be from 1 to 32768"));
+        co_await refuse(writer, errc::invalid_request, execution::not_run,
+                        "max_tokens must be from 1 to 32768");
         co_return;
     }
     wanted.max_tokens = static_cast<std::uint32_t>(tokens);
@@ -317,10 +318,8 @@
         (!base.empty() && !parse_number(base, wanted.base)))
     {
         const errc code = token ? errc::invalid_request : to_errc(token.error());
-        co_await refuse(writer, {code,
-                                 execution::unknown,
-                                 "expected resume (a token of a start event) and offset",
-                                 {}});
+        co_await refuse(writer, code, execution::unknown,
+                        "expected resume (a token of a start event) and offset");
         co_return;
     }
     wanted.token = *token;
@@ -333,10 +332,8 @@
     result<caller_identity> identity = identify(request);
     if (!identity)
     {
-        co_await refuse(writer, {to_errc(identity.error()),
-                                 execution::not_run,
-                                 "check X-Team, its token, X-Priority, X-Deadline-Ms, X-Request-Id",
-                                 {}});
+        co_await refuse(writer, to_errc(identity.error()), execution::not_run,
+                        "check X-Team, its token, X-Priority, X-Deadline-Ms, X-Request-Id");
         co_return;
     }
     service_request wanted;
@@ -364,16 +361,15 @@
     const result<caller_identity> identity = identify(request);
     if (!identity)
     {
-        co_await refuse(
-            writer,
-            {to_errc(identity.error()), execution::unknown, "check X-Team and its token", {}});
+        co_await refuse(writer, to_errc(identity.error()), execution::unknown,
+                        "check X-Team and its token");
         co_return;
     }
     const result<ledger_entry> entry = co_await services_.show(identity->team, target.segments[2]);
     if (!entry)
     {
         // Without a row an attempt on another router may still be about to begin.
-        co_await refuse(writer, {to_errc(entry.error()), execution::unknown, "", {}});
+        co_await refuse(writer, to_errc(entry.error()), execution::unknown, "");
         co_return;
     }
     http_response response = make_json_response(
--- a/endivestage/daemon/chat_service.cpp
+++ b/endivestage/daemon/chat_service.cpp
@@ -19,6 +19,7 @@
 constexpr millis handover_poll{100};
 constexpr millis token_lifetime{3600000};
 constexpr millis peer_timeout{500};
+constexpr millis cancel_timeout{1000};
 /// Bounds what resumes of requests that this router does not know can take up.
 constexpr std::size_t max_early_handovers = 10000;
 constexpr std::string_view token_purpose = "resume";
@@ -104,7 +105,8 @@
                         request.token.request, engine->id);
     chat_session session(*this, std::move(wanted), writer,
                          co_await boost::asio::this_coro::executor, request.offset - request.base);
-    co_await session.run_resume(engine->id, {engine->host, engine->port}, request.base);
+    network_address address{engine->host, engine->port};
+    co_await session.run_resume(engine->id, std::move(address), request.base);
     tell_entry(request.token, "/stream/ended");
 }
 
@@ -193,7 +195,7 @@
     http_request cancel;
     cancel.method = "DELETE";
     cancel.target = "/v1/generate/" + request.str();
-    co_await http_call(std::move(address), std::move(cancel), millis{1000});
+    co_await http_call(std::move(address), std::move(cancel), cancel_timeout);
 }
 
 void chat_service::count_first_attempt(const pool_id& pool)
--- a/endivestage/daemon/cluster_service.cpp
+++ b/endivestage/daemon/cluster_service.cpp
@@ -296,7 +296,7 @@
 // The receiver answers within the same call where it can, which halves the number of calls.
 awaitable<void> cluster_service::deliver(member to, std::string path, json::object body)
 {
-    const rpc_answer answer = co_await node_.rpc.call({to.host, to.port}, std::move(path),
+    const rpc_answer answer = co_await node_.rpc.call(peer_address_of(to), std::move(path),
                                                       std::move(body), message_timeout);
     if (!answer)
     {
@@ -375,7 +375,7 @@
               [this, child, body]() -> awaitable<void>
               {
                   json::object content = body;
-                  co_await node_.rpc.call({child.host, child.port}, "/push", std::move(content),
+                  co_await node_.rpc.call(peer_address_of(child), "/push", std::move(content),
                                           message_timeout);
               });
     }
--- a/endivestage/daemon/configuration_service.cpp
+++ b/endivestage/daemon/configuration_service.cpp
@@ -321,7 +321,8 @@
 {
     if (polls_store())
     {
-        co_await ask(configuration_source{});
+        configuration_source store;
+        co_await ask(std::move(store));
     }
 }
 
--- a/endivestage/daemon/operator_api.cpp
+++ b/endivestage/daemon/operator_api.cpp
@@ -203,7 +203,11 @@
     }
     if (resource == "configuration")
     {
-        co_return post ? co_await apply_configuration(request) : show_configuration();
+        if (post)
+        {
+            co_return co_await apply_configuration(request);
+        }
+        co_return show_configuration();
     }
     if (resource == "timeline" && get)
     {
@@ -215,7 +219,11 @@
     }
     if (resource == "requests" && depth == 5)
     {
-        co_return post ? co_await settle_request(request, target) : co_await show_request(target);
+        if (post)
+        {
+            co_return co_await settle_request(request, target);
+        }
+        co_return co_await show_request(target);
     }
     if (resource == "stop" && post)
     {
@@ -339,7 +347,7 @@
 awaitable<std::vector<timeline_event>> operator_api::read_peer(member peer, json::object question)
 {
     std::vector<timeline_event> events;
-    const rpc_answer answer = co_await node_.rpc.call({peer.host, peer.port}, "/timeline/read",
+    const rpc_answer answer = co_await node_.rpc.call(peer_address_of(peer), "/timeline/read",
                                                       std::move(question), peer_timeout);
     if (answer)
     {
--- a/endivestage/daemon/service_caller.cpp
+++ b/endivestage/daemon/service_caller.cpp
@@ -154,9 +154,10 @@
 {
     call_outcome outcome;
     http_exchange exchange(co_await boost::asio::this_coro::executor);
+    const network_address address{target.host, target.port};
     const millis before = request.deadline - node_.time.now();
     const std::error_code ec =
-        co_await exchange.connect({target.host, target.port}, std::min(connect_timeout, before));
+        co_await exchange.connect(address, std::min(connect_timeout, before));
     configuration_.on_connection(target.id, !ec);
     const millis remaining = request.deadline - node_.time.now();
     if (ec || remaining.count <= 0)
@@ -292,7 +293,8 @@
     if (std::holds_alternative<send_to_endpoint>(action))
     {
         endpoint_id used;
-        const call_outcome outcome = co_await call(request, {}, used);
+        const std::set<endpoint_id> none;
+        const call_outcome outcome = co_await call(request, none, used);
         co_return attempt.on_endpoint_outcome(outcome.what, present());
     }
     if (const answer_caller* answer = std::get_if<answer_caller>(&action))
--- a/endivestage/daemon/wire.cpp
+++ b/endivestage/daemon/wire.cpp
@@ -111,6 +111,11 @@
 
 } // namespace
 
+peer_address peer_address_of(const member& who)
+{
+    return {who.host, who.port};
+}
+
 json::object encode(const view_message& message)
 {
     return std::visit(view_message_encoder{}, message);
--- a/endivestage/daemon/wire.hpp
+++ b/endivestage/daemon/wire.hpp
@@ -7,6 +7,7 @@
 #include <endivestage/admission/permit.hpp>
 #include <endivestage/admission/pool_aggregate.hpp>
 #include <endivestage/core.hpp>
+#include <endivestage/daemon/peer_transport.hpp>
 #include <endivestage/ownership/messages.hpp>
 
 #include <boost/json/object.hpp>
@@ -16,6 +17,12 @@
 namespace endivestage::daemon
 {
 
+/// \returns Where the router takes peer calls.
+///
+/// g++ 12 destroys braced aggregates inside co_await expressions twice, so that addresses are made
+/// by a function.
+peer_address peer_address_of(const member& who);
+
 /// \brief A message between view agents.
 using view_message =
     std::variant<confirm_request, confirm_answer, view_announce, view_acknowledgement>;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 #include <endivestage/core.hpp>
-#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
 
 #include <algorithm>
 #include <map>
@@ -29,13 +29,13 @@
 {
     const std::vector<weighted_node> all = make_nodes(9);
     const std::vector<weighted_node> fewer(all.begin(), all.end() - 1);
-    rc::check("keys of the remaining nodes stay",
-              [&](std::uint64_t key)
-              {
-                  const std::size_t before = rank_by_rendezvous(key, all, 1).front();
-                  const std::size_t after = rank_by_rendezvous(key, fewer, 1).front();
-                  RC_ASSERT(before == all.size() - 1 || before == after);
-              });
+    rc::prop("keys of the remaining nodes stay",
+             [&](std::uint64_t key)
+             {
+                 const std::size_t before = rank_by_rendezvous(key, all, 1).front();
+                 const std::size_t after = rank_by_rendezvous(key, fewer, 1).front();
+                 RC_ASSERT((before == all.size() - 1 || before == after));
+             });
 }
 
 // Guards against ignored weights, which would overload small endpoints.
--- a/tests/daemon_signing_test.cpp
+++ b/tests/daemon_signing_test.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 #include <endivestage/daemon/signing.hpp>
-#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
 
 #include <memory>
 #include <string>
@@ -106,7 +106,7 @@
     stepped_clock time;
     request_verifier verifier(ring({old_key}), time);
     const key_ring keys({old_key});
-    rc::check(
+    rc::prop("every text is refused",
         [&](const std::string& text)
         {
             RC_ASSERT(verifier.verify(request, text) != signature_fault::none);
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 #include <endivestage/ledger.hpp>
-#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
 
 #include <cstdlib>
 #include <iostream>
@@ -540,15 +540,15 @@
 // Guards against a row that loses bytes of the answer on its way through the table.
 TEST_CASE("a row survives encoding")
 {
-    rc::check("decode(encode(row)) == row",
-              [](const std::string& body, std::uint8_t status, std::int64_t deadline)
-              {
-                  const ledger_row row{ledger_state::done, attempt_id("a"),
-                                       router_id("r"),     "d",
-                                       {deadline},         {1},
-                                       {status, body},     /* body_stored= */ true};
-                  RC_ASSERT(*decode_row(encode_row(row)) == row);
-              });
+    rc::prop("decode(encode(row)) == row",
+             [](const std::string& body, std::uint8_t status, std::int64_t deadline)
+             {
+                 const ledger_row row{ledger_state::done, attempt_id("a"),
+                                      router_id("r"),     "d",
+                                      {deadline},         {1},
+                                      {status, body},     /* body_stored= */ true};
+                 RC_ASSERT(*decode_row(encode_row(row)) == row);
+             });
 }
 
 // Guards against operations that wait without end, groups above the transaction limit and two
--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 #include <endivestage/core.hpp>
 #include <endivestage/ownership.hpp>
-#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
 
 #include <algorithm>
 #include <cstdlib>
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 #include <endivestage/stream.hpp>
-#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
 
 #include <cstdlib>
 #include <deque>
@@ -321,22 +321,22 @@
 TEST_CASE("a resume token survives encoding and shows every change")
 {
     const test_signer signer("k");
-    rc::check("decode(encode(token)) == token, and no changed text is accepted",
-              [&](const std::string& request, const std::string& pool, std::int64_t created,
-                  std::uint16_t where, std::uint8_t flip)
-              {
-                  const resume_token token{request_id(request), pool_id(pool),  endpoint_id("e:1"),
-                                           team_id(""),         router_id("r"), {created}};
-                  std::string text = encode_token(token, signer);
-                  RC_ASSERT(text.find_first_not_of("0123456789ABCDEF.") == std::string::npos);
-                  RC_ASSERT(*decode_token(text, signer) == token);
-                  RC_ASSERT(decode_token(text, test_signer("x")).error() == errc::unauthorized);
-                  char& changed = text[where % text.size()];
-                  const char digit = "0123456789ABCDEF."[flip % 17];
-                  RC_PRE(changed != digit);
-                  changed = digit;
-                  RC_ASSERT(!decode_token(text, signer));
-              });
+    rc::prop("decode(encode(token)) == token, and no changed text is accepted",
+             [&](const std::string& request, const std::string& pool, std::int64_t created,
+                 std::uint16_t where, std::uint8_t flip)
+             {
+                 const resume_token token{request_id(request), pool_id(pool),  endpoint_id("e:1"),
+                                          team_id(""),         router_id("r"), {created}};
+                 std::string text = encode_token(token, signer);
+                 RC_ASSERT(text.find_first_not_of("0123456789ABCDEF.") == std::string::npos);
+                 RC_ASSERT(*decode_token(text, signer) == token);
+                 RC_ASSERT(decode_token(text, test_signer("x")).error() == errc::unauthorized);
+                 char& changed = text[where % text.size()];
+                 const char digit = "0123456789ABCDEF."[flip % 17];
+                 RC_PRE(changed != digit);
+                 changed = digit;
+                 RC_ASSERT(!decode_token(text, signer));
+             });
     REQUIRE(decode_token(std::string(max_token_size + 1, 'A'), signer).error() == errc::too_large);
     REQUIRE(is_token_expired({{}, {}, {}, {}, {}, {10}}, {16}, millis{5}));
     REQUIRE_FALSE(is_token_expired({{}, {}, {}, {}, {}, {10}}, {15}, millis{5}));
