Let a retry name the attempt that it replaces

Cause: a retry within the clock skew after not_run was refused, and each refusal started the time again, so a caller that tries every 300 ms never got through. Change: attempt_request::replaces; the row of that attempt is replaced at once. Before: refused. Conclusion: callers and the daemon should hand the attempt id of a not_run answer back.

--- a/endivestage/ledger/attempt.cpp
+++ b/endivestage/ledger/attempt.cpp
@@ -181,8 +181,9 @@
     }
     // The caller of the earlier attempt may have read not_run as the last word on its key. Only an
     // attempt that began after that may run the key, not one that was delayed until then.
-    return value.state == ledger_state::not_run &&
-           started_wall_ > value.changed + limits_.clock_skew;
+    const bool began_after =
+        value.attempt == request_.replaces || started_wall_ > value.changed + limits_.clock_skew;
+    return value.state == ledger_state::not_run && began_after;
 }
 
 attempt_actions request_attempt::take()
--- a/endivestage/ledger/attempt.hpp
+++ b/endivestage/ledger/attempt.hpp
@@ -32,6 +32,10 @@
     /// True when the caller may have submitted this key before. Without access to the store a
     /// router cannot exclude that an earlier attempt runs, so it then says unknown.
     bool repeated = false;
+    /// The attempt whose not_run answer made the caller (or this router, when it kept that answer
+    /// to itself) submit the key again; empty when there is none. It may be replaced at once,
+    /// without waiting for the clock skew.
+    attempt_id replaces;
 };
 
 /// \brief Action: carry out a table operation and hand its table_result to on_table_result.
--- a/endivestage/ledger/row.cpp
+++ b/endivestage/ledger/row.cpp
@@ -188,7 +188,7 @@
     {
         read_answer(from, row);
     }
-    if (!state || !from.ok())
+    if (!state || !from.ok() || row.attempt.empty())
     {
         return make_error_code(errc::invalid_request);
     }
--- a/endivestage/ledger/row.hpp
+++ b/endivestage/ledger/row.hpp
@@ -36,7 +36,7 @@
 struct ledger_row
 {
     ledger_state state = ledger_state::reserved;
-    attempt_id attempt;      ///< Attempt that the state is about; unique per attempt.
+    attempt_id attempt;      ///< Attempt that the state is about; never empty.
     router_id router;        ///< Router of that attempt.
     std::string body_digest; ///< Digest of the request body; constant for the life of the key.
     time_point deadline;     ///< Wall clock; the attempt sends nothing after it.
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -159,9 +159,12 @@
         a.clock_offset = millis{static_cast<std::int64_t>(random_.below(100000))};
         a.wall_offset = millis{epoch + static_cast<std::int64_t>(random_.below(500))};
         a.deadline = now_ + a.clock_offset + millis{static_cast<std::int64_t>(random_.below(4000))};
+        const attempt_state* last = last_answered_ < 0 ? nullptr : &attempts_[last_answered_];
+        const bool retry = last != nullptr && last->answer->ran == execution::not_run;
+        const attempt_id replaces(retry ? "a" + std::to_string(last_answered_) : "");
         a.machine = std::make_unique<request_attempt>(
             attempt_request{team_id("t"), test_key, a.digest, attempt_id("a" + number),
-                            router_id("r" + number), a.deadline, !attempts_.empty()},
+                            router_id("r" + number), a.deadline, !attempts_.empty(), replaces},
             limits_, random_);
         attempts_.push_back(std::move(a));
         take(attempts_.back(), attempts_.back().machine->start(at(attempts_.back())));
@@ -362,7 +365,7 @@
           random_(1),
           now_(now),
           machine({team_id("t"), test_key, digest, attempt_id(name), router_id("r"),
-                   now + millis{500}, repeated},
+                   now + millis{500}, repeated, attempt_id("first")},
                   {}, random_)
     {
     }
@@ -487,16 +490,27 @@
 // Guards against a delayed attempt that runs a key after a later attempt was answered not_run.
 TEST_CASE("an attempt that began before the key was settled does not run it")
 {
-    for (const std::int64_t settled : {59'499, 59'500})
+    struct
+    {
+        std::string attempt;
+        std::int64_t settled;
+        bool runs;
+    } const cases[] = {{"b", 59'499, true}, {"b", 59'500, false}, {"first", 59'999, true}};
+    for (const auto& [attempt, settled, runs] : cases)
     {
         fake_table table;
         single_attempt it(table, "a", "d", {60000}, true);
-        const ledger_row row{
-            ledger_state::not_run, attempt_id("b"), router_id("r"), "d", {}, {epoch + settled}, {}};
+        const ledger_row row{ledger_state::not_run,
+                             attempt_id(attempt),
+                             router_id("r"),
+                             "d",
+                             {},
+                             {epoch + settled},
+                             {}};
         table.apply({kind::insert, row_key(team_id("t"), test_key), 0, encode_row(row)});
         it.drive(it.machine.start(it.at()));
-        REQUIRE(it.sent == (settled == 59'499));
-        REQUIRE((it.sent || it.answer->ran == execution::not_run));
+        REQUIRE(it.sent == runs);
+        REQUIRE((runs || it.answer->ran == execution::not_run));
     }
 }
 
