--- a/endivestage/daemon/settings.cpp
+++ b/endivestage/daemon/settings.cpp
@@ -77,8 +77,7 @@
         return value == nullptr ? standard : checked_text(*value, key(name), 1, max_name_bytes);
     }
 
-    std::string ip_address(std::string_view name, bool required,
-                           const std::string& standard = {})
+    std::string ip_address(std::string_view name, bool required, const std::string& standard = {})
     {
         const std::size_t before = faults_->size();
         std::string host = text(name, required, standard);
--- a/tests/daemon_signing_test.cpp
+++ b/tests/daemon_signing_test.cpp
@@ -107,12 +107,12 @@
     request_verifier verifier(ring({old_key}), time);
     const key_ring keys({old_key});
     rc::prop("every text is refused",
-        [&](const std::string& text)
-        {
-            RC_ASSERT(verifier.verify(request, text) != signature_fault::none);
-            RC_ASSERT(!verify_text(keys, "resume", text));
-            RC_ASSERT(base64url_decode(base64url_encode(text)).value() == text);
-        });
+             [&](const std::string& text)
+             {
+                 RC_ASSERT(verifier.verify(request, text) != signature_fault::none);
+                 RC_ASSERT(!verify_text(keys, "resume", text));
+                 RC_ASSERT(base64url_decode(base64url_encode(text)).value() == text);
+             });
 }
 
 // Guards against forged resume tokens and tokens used for another purpose.
