Satisfy the linter in merged sources

Cause: clang-tidy findings in sources that were merged. Before: scripts/lint failed on these files. After: these files pass. Conclusion: no change of behavior.

--- a/endivestage/daemon/placement_service.cpp
+++ b/endivestage/daemon/placement_service.cpp
@@ -131,7 +131,7 @@
             {
                 refusal = answers[n].error();
             }
-            offered.push_back(std::move(entry));
+            offered.push_back(entry);
         }
         if (wait && offers.empty())
         {
