--- a/endivestage/membership/failure_detector.cpp
+++ b/endivestage/membership/failure_detector.cpp
@@ -620,9 +620,10 @@
     std::vector<member> members{impl_->self};
     for (const auto& [id, it] : impl_->peers)
     {
-        const bool inside =
-            std::any_of(in_view.begin(), in_view.end(),
-                        [&](const member& who) { return same_run(who, it.belief.who); });
+        const auto listed =
+            std::lower_bound(in_view.begin(), in_view.end(), id,
+                             [](const member& a, const router_id& b) { return a.id < b; });
+        const bool inside = listed != in_view.end() && same_run(*listed, it.belief.who);
         const bool held = it.held_until && now < *it.held_until;
         if (it.present() && (inside || !held))
         {
--- a/endivestage/membership/failure_detector.hpp
+++ b/endivestage/membership/failure_detector.hpp
@@ -109,8 +109,9 @@
     /// \brief The routers that should be members of a view, with this one, in order of their ids.
     ///
     /// These are the alive and suspect routers, except those in hold-down.
-    /// \param in_view Members of the present view: hold-down delays joining only, so that routers
-    /// which counted failures differently do not remove and add a member in turn.
+    /// \param in_view Members of the present view in order of their ids: hold-down delays joining
+    /// only, so that routers which counted failures differently do not remove and add a member in
+    /// turn.
     std::vector<member> live(time_point now, std::span<const member> in_view = {}) const;
 
     /// \returns The belief about a router; nothing when it is unknown or was never heard of.
