Satisfy the linter in merged sources

Cause: clang-tidy findings in sources that were merged. Change: moves and parameters as the linter asks. Conclusion: no change of behavior.

--- a/endivestage/daemon/placement_service.cpp
+++ b/endivestage/daemon/placement_service.cpp
@@ -147,7 +147,7 @@
 {
     struct gathering
     {
-        explicit gathering(asio::any_io_executor executor) : done(std::move(executor)) {}
+        explicit gathering(const asio::any_io_executor& executor) : done(executor) {}
         std::vector<result<holding>> answers;
         std::size_t open = 0;
         asio::steady_timer done;
