--- a/endivestage/daemon/peer_transport.hpp
+++ b/endivestage/daemon/peer_transport.hpp
@@ -39,12 +39,14 @@
     /// \brief Sends one call.
     /// \param path Starts with "/".
     /// \param timeout From now to the whole answer; positive.
-    /// \param done Called exactly once, from another call stack. Errors:
+    /// \param done Called exactly once, from another call stack, while the io_context runs. Must
+    /// not block. Errors:
     ///  - peer_unavailable: no connection, or it broke; the call may have been received
     ///  - deadline_exceeded: no whole answer within \p timeout; the call may have been received
     ///  - overloaded: too many calls are waiting for this peer, or the peer says so
     ///  - too_large: the body or the answer exceeds the limit
-    ///  - unauthorized, invalid_request, not_found, conflict, internal: the peer's answer
+    ///  - invalid_request: the host is no IP literal, or the peer says so
+    ///  - unauthorized, not_found, conflict, internal: the peer's answer
     ///  - shutting_down: the channel was stopped
     virtual void call(const peer_address& to, std::string path, std::string body, millis timeout,
                       peer_callback done) = 0;
@@ -102,6 +104,7 @@
     too_many_sessions,
     request_too_slow, ///< A request was not complete within the limit.
     silent,           ///< No answer to a ping while a new connection worked.
+    internal_error,   ///< Out of memory or an unexpected failure in this process.
 };
 
 /// \returns The stable snake_case name of a fault.
@@ -120,6 +123,7 @@
     std::uint64_t bytes_sent = 0; ///< Without TCP and IP headers.
     std::uint64_t bytes_received = 0;
     std::uint64_t calls = 0;
+    std::uint64_t refused = 0; ///< Calls with a wrong signature; counted by the server.
     std::uint64_t sessions_opened = 0;
     std::uint64_t sessions_open = 0; ///< At present.
 };
