--- a/endivestage/daemon/settings.hpp
+++ b/endivestage/daemon/settings.hpp
@@ -104,7 +104,7 @@
 {
     std::string file;
     std::string key; ///< Path such as "platform.table.port" or "peer_keys[1]"; empty for the file.
-    settings_fault_kind kind = settings_fault_kind::invalid_json;
+    settings_fault_kind what = settings_fault_kind::invalid_json;
     std::string reason; ///< What was expected, for people.
 };
 
