--- a/endivestage/daemon/peer_transport.cpp
+++ b/endivestage/daemon/peer_transport.cpp
@@ -128,7 +128,8 @@
 asio::awaitable<result<std::string>> call_peer(peer_channel& channel, peer_address to,
                                                std::string path, std::string body, millis timeout)
 {
-    return asio::async_initiate<const asio::use_awaitable_t<>&, void(result<std::string>)>(
+    co_return co_await asio::async_initiate<const asio::use_awaitable_t<>&,
+                                            void(result<std::string>)>(
         [&channel](auto handler, const peer_address& address, std::string&& where,
                    std::string&& content, millis limit)
         {
--- a/endivestage/daemon/settings.cpp
+++ b/endivestage/daemon/settings.cpp
@@ -71,16 +71,17 @@
         return {members, key(name), file_, *faults_};
     }
 
-    std::string text(std::string_view name, bool required, const std::string& standard = {})
+    std::string text(std::string_view name, bool required, std::string standard = {})
     {
         const json::value* value = find(name, required);
-        return value == nullptr ? standard : checked_text(*value, key(name), 1, max_name_bytes);
+        return value == nullptr ? std::move(standard)
+                                : checked_text(*value, key(name), 1, max_name_bytes);
     }
 
-    std::string ip_address(std::string_view name, bool required, const std::string& standard = {})
+    std::string ip_address(std::string_view name, bool required, std::string standard = {})
     {
         const std::size_t before = faults_->size();
-        std::string host = text(name, required, standard);
+        std::string host = text(name, required, std::move(standard));
         boost::system::error_code ec;
         boost::asio::ip::make_address(host, ec);
         if (ec && !host.empty() && faults_->size() == before)
