--- /dev/null
+++ b/bench/placement_cost.cpp
@@ -0,0 +1,115 @@
+// Measures the cost of a placement decision and of a recency entry; one JSON object a line.
+#include <endivestage/placement.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdio>
+#include <cstdlib>
+#include <new>
+#include <string>
+#include <vector>
+
+using namespace endivestage;
+
+namespace
+{
+
+// Bytes that operator new handed out and operator delete did not get back.
+std::size_t live_bytes = 0;
+
+constexpr std::size_t header = alignof(std::max_align_t);
+
+void print(const char* measure, double value, const char* unit, const char* target)
+{
+    std::printf("{\"measure\":\"%s\",\"scenario\":\"microbenchmark\",\"seed\":1,\"value\":%.4g,"
+                "\"unit\":\"%s\",\"target\":%s,\"baseline\":{}}\n",
+                measure, value, unit, target);
+}
+
+// A decision: rank the candidates and choose between k offers.
+std::size_t decide(const candidate_ranking& ranking, std::uint64_t key,
+                   const placement_policy& policy)
+{
+    std::vector<placement_offer> offers;
+    for (const std::size_t engine : ranking.candidates(key, policy.first_asked))
+    {
+        const auto load = static_cast<std::uint32_t>((engine * 7 + key) % 30);
+        offers.push_back({offers.size(), load, 30, 1.0, 0});
+    }
+    return choose_offer(offers, 1000, policy).value_or(0);
+}
+
+void measure_decision(std::size_t engines, std::size_t capacities, const char* name)
+{
+    std::vector<pool_engine> pool;
+    for (std::size_t n = 0; n < engines; ++n)
+    {
+        const auto zone = static_cast<std::uint32_t>(n % 7);
+        const double capacity = 1.0 + static_cast<double>(n % capacities);
+        pool.push_back({hash64("engine-" + std::to_string(n)), capacity, zone, true});
+    }
+    const candidate_ranking ranking(pool);
+    const placement_policy policy;
+    seeded_random random(1);
+    constexpr int rounds = 200000;
+    std::size_t sink = 0;
+    const auto begin = std::chrono::steady_clock::now();
+    for (int n = 0; n < rounds; ++n)
+    {
+        sink += decide(ranking, random.next(), policy);
+    }
+    const std::chrono::duration<double, std::micro> spent =
+        std::chrono::steady_clock::now() - begin;
+    print(sink > 0 ? name : "none", spent.count() / rounds, "us", "5");
+}
+
+void measure_recency()
+{
+    constexpr std::size_t chats = 40000;
+    const std::size_t before = live_bytes;
+    recency_index index(1ULL << 40U);
+    seeded_random random(1);
+    for (std::size_t n = 0; n < chats; ++n)
+    {
+        index.put(random.next(), 1000);
+    }
+    print("recency_entry", static_cast<double>(live_bytes - before) / chats, "bytes", "null");
+}
+
+} // namespace
+
+void* operator new(std::size_t size)
+{
+    void* raw = std::malloc(size + header);
+    if (raw == nullptr)
+    {
+        throw std::bad_alloc();
+    }
+    *static_cast<std::size_t*>(raw) = size;
+    live_bytes += size;
+    return static_cast<char*>(raw) + header;
+}
+
+void operator delete(void* at) noexcept
+{
+    if (at != nullptr)
+    {
+        void* raw = static_cast<char*>(at) - header;
+        live_bytes -= *static_cast<std::size_t*>(raw);
+        std::free(raw);
+    }
+}
+
+void operator delete(void* at, std::size_t) noexcept
+{
+    operator delete(at);
+}
+
+int main()
+{
+    measure_decision(600, 1, "decision_600_engines");
+    measure_decision(600, 3, "decision_600_engines_3_capacities");
+    measure_decision(9, 1, "decision_9_engines");
+    measure_recency();
+    return 0;
+}
