Count the load of an engine that turned cold in its digest capacity

Cause: an engine that turned cold with 30 running requests entered the digest with 30 requests on 2 of 30 parts of its capacity, which raised the pool's mean and all limits. Change: its capacity is at least the share that its load uses.

--- a/bench/simulation/fleet_impl.hpp
+++ b/bench/simulation/fleet_impl.hpp
@@ -587,7 +587,8 @@
     double ramp_capacity = 0;
     for (std::size_t n = 0; n < engines_.size(); ++n)
     {
-        const double share = gates_[n]->ramp().allowance() / nominal;
+        const double usable = std::max(gates_[n]->ramp().allowance(), engines_[n].running());
+        const double share = usable / nominal;
         ramp_capacity += counts(n) ? std::min(1.0, share) : 0.0;
     }
     return sum / ramp_capacity;
--- a/endivestage/admission/engine_gate.hpp
+++ b/endivestage/admission/engine_gate.hpp
@@ -132,8 +132,9 @@
     /// \returns The engine's entry in the owner's load digest, or nothing while it gets no new
     /// work.
     ///
-    /// The capacity of a cold engine is reduced to the share that its ramp allows: places that it
-    /// must not fill yet would lower the mean and with it the limits of the warm engines.
+    /// The capacity of a cold engine is reduced to the share that its ramp allows or its load uses,
+    /// whichever is larger: places that it must not fill yet would lower the mean and with it the
+    /// limits of the warm engines.
     std::optional<engine_load> digest() const;
 
     /// \returns Requests on the engine as counted by the owner.
--- a/endivestage/admission/engine_gate_events.cpp
+++ b/endivestage/admission/engine_gate_events.cpp
@@ -161,7 +161,9 @@
         return std::nullopt;
     }
     const double expected = bound_.mean() * policy_.capacity;
-    const double share = expected > 0.0 ? std::min(1.0, ramp_.allowance() / expected) : 1.0;
+    // An engine that turned cold under load counts at least with the capacity that its load uses.
+    const double usable = std::max(ramp_.allowance(), load());
+    const double share = expected > 0.0 ? std::min(1.0, usable / expected) : 1.0;
     return engine_load{engine_, load(), policy_.capacity * share};
 }
 
