Ignore late first tokens that a long prefill explains

Change: a late first token of a request with 1000 or more uncached history tokens neither makes an engine cold nor restarts the ramp's round.

--- a/endivestage/admission/cold_start_ramp.cpp
+++ b/endivestage/admission/cold_start_ramp.cpp
@@ -37,16 +37,19 @@
     allowance_ = unlimited;
 }
 
-bool cold_start_ramp::finished(std::uint32_t epoch, std::optional<millis> first_token)
+bool cold_start_ramp::finished(std::uint32_t epoch, std::optional<millis> first_token,
+                               std::uint32_t prefill)
 {
-    if (epoch != epoch_)
+    const bool timely = first_token && *first_token <= policy_.first_token_target;
+    const bool unclear = first_token && !timely && prefill >= policy_.long_prefill;
+    if (epoch != epoch_ || unclear)
     {
         return false;
     }
-    const bool slow = first_token && observe(*first_token);
+    const bool slow = first_token && prefill < policy_.long_prefill && observe(*first_token);
     if (!warm())
     {
-        advance(first_token && *first_token <= policy_.first_token_target);
+        advance(timely);
         return false;
     }
     streak_ = slow ? streak_ + 1 : 0;
--- a/endivestage/admission/cold_start_ramp.hpp
+++ b/endivestage/admission/cold_start_ramp.hpp
@@ -22,6 +22,9 @@
     double slow_factor = 3.0;       ///< Multiple of the running median that counts as slow.
     std::uint32_t slow_streak = 3;  ///< Slow first tokens in a row that make the engine cold.
     std::size_t median_window = 33; ///< First-token times the running median covers.
+    /// History tokens outside the cache from which a late first token says nothing about the
+    /// engine: it may come from the prefill alone.
+    std::uint32_t long_prefill = 1000;
 };
 
 /// \brief Doubles the permits of a cold engine after each full round of timely first tokens.
@@ -52,8 +55,9 @@
     /// \brief Counts a finished request.
     /// \param epoch Epoch under which its permit was issued.
     /// \param first_token Time to first token; empty when the request failed before.
+    /// \param prefill History tokens that were not in the engine's cache, as far as known.
     /// \returns True when this made a warm engine cold.
-    bool finished(std::uint32_t epoch, std::optional<millis> first_token);
+    bool finished(std::uint32_t epoch, std::optional<millis> first_token, std::uint32_t prefill);
 
 private:
     void advance(bool timely);
--- a/endivestage/admission/engine_gate.cpp
+++ b/endivestage/admission/engine_gate.cpp
@@ -122,13 +122,15 @@
 {
     const permit_key key{view_, ++last_sequence_};
     const held_permit held{key, request.holder, request.request, request.chat};
-    permits_.emplace(key, issued_permit{held, now, ramp_.epoch()});
+    const std::uint32_t cached = cache_.cached_tokens(chat_key(request.chat));
+    const std::uint32_t prefill = request.history_tokens - std::min(cached, request.history_tokens);
+    permits_.emplace(key, issued_permit{held, now, ramp_.epoch(), prefill});
     account_.add(now);
     permit issued;
     issued.key = key;
     issued.load = load();
     issued.limit = limit();
-    issued.cached_tokens = cache_.cached_tokens(chat_key(request.chat));
+    issued.cached_tokens = cached;
     return issued;
 }
 
@@ -155,7 +157,8 @@
     }
     note_departure(load() >= limit(), now);
     const bool completed = outcome.what == permit_outcome::kind::completed;
-    ramp_.finished(issued.ramp_epoch, completed ? outcome.first_token : std::nullopt);
+    ramp_.finished(issued.ramp_epoch, completed ? outcome.first_token : std::nullopt,
+                   issued.prefill);
     if (completed)
     {
         cache_.put(chat_key(issued.held.chat), outcome.tokens);
--- a/endivestage/admission/engine_gate.hpp
+++ b/endivestage/admission/engine_gate.hpp
@@ -159,6 +159,7 @@
         held_permit held;
         time_point issued;
         std::uint32_t ramp_epoch = 0;
+        std::uint32_t prefill = 0; // History tokens outside the cache.
     };
 
     std::error_code refusal(time_point now) const;
--- a/endivestage/admission/engine_gate_events.cpp
+++ b/endivestage/admission/engine_gate_events.cpp
@@ -125,7 +125,7 @@
     for (const held_permit& old : held)
     {
         // Epoch 0 with the ramp's first epoch would count as a completion of this owner's ramp.
-        const issued_permit issued{old, now, std::numeric_limits<std::uint32_t>::max()};
+        const issued_permit issued{old, now, std::numeric_limits<std::uint32_t>::max(), 0};
         added += permits_.emplace(old.key, issued).second ? 1U : 0U;
     }
     account_.restore(added, now);
