Derive the admission multiple from the size of the pool

Cause: with a fixed multiple of 1.15 engines of a large pool stop 0.1 of the mean below the bound, although its mean hardly falls within a digest interval; chats then lose their warm engine. Change: m = 1.25 x (1 - 0.5 / sqrt(pool load)), at least 1.05. Reuse in small pools and instants above are next.

--- a/bench/simulation/fleet_impl.hpp
+++ b/bench/simulation/fleet_impl.hpp
@@ -83,7 +83,7 @@
     const es::placement_policy& policy = options_.placement;
     const std::size_t most = policy.first_asked + policy.fallback_asked * (policy.rounds - 1);
     const chat& of = *request->request.of;
-    request->attempt.emplace(ranking_.candidates(of.key, most), of.history, policy);
+    request->attempt.emplace(ranking_.candidates(of.key, most), policy);
     follow(request, request->attempt->start());
 }
 
--- a/endivestage/admission/engine_gate.cpp
+++ b/endivestage/admission/engine_gate.cpp
@@ -66,8 +66,8 @@
     {
         return load() < most;
     }
-    const auto reserved = static_cast<std::uint32_t>(policy_.reserved_share * most);
-    return load() + reserved < most;
+    return load() <
+           std::min(most, bounded_limit(policy_.open_multiple, bound_.mean(), policy_.capacity));
 }
 
 permit_answer engine_gate::acquire(const permit_request& request, time_point now)
--- a/endivestage/admission/engine_gate.hpp
+++ b/endivestage/admission/engine_gate.hpp
@@ -31,7 +31,9 @@
     double capacity = 1.0;           ///< Weight of the engine.
     std::uint32_t most_requests = 0; ///< Absolute limit of the engine; 0 for none.
     std::uint64_t cache_tokens = 1000000; ///< Tokens that the engine's prefix cache holds.
-    double reserved_share = 0.1;       ///< Share of the limit kept for chats with a long history.
+    /// Multiple of the mean up to which requests without a long cached history are admitted. The
+    /// places above are kept for chats that would lose their cache elsewhere.
+    double open_multiple = 1.25;
     std::uint32_t long_history = 4000; ///< Cached tokens from which a history is long.
 };
 
--- a/endivestage/admission/load_bound.cpp
+++ b/endivestage/admission/load_bound.cpp
@@ -22,6 +22,7 @@
         return;
     }
     mean_ = mean.value();
+    pool_load_ = mean.load;
     taken_ = taken;
     stale_ = false;
 }
@@ -38,7 +39,14 @@
 
 std::uint32_t load_bound::limit(double weight) const
 {
-    return stale_ ? frozen_ : bounded_limit(policy_.admission_multiple, mean_, weight);
+    return stale_ ? frozen_ : bounded_limit(admission_multiple(), mean_, weight);
+}
+
+double load_bound::admission_multiple() const
+{
+    const double deviation = 1.0 / std::sqrt(std::max(1.0, pool_load_));
+    return std::max(policy_.least_multiple,
+                    policy_.multiple * (1.0 - policy_.fall_margin * deviation));
 }
 
 } // namespace endivestage
--- a/endivestage/admission/load_bound.hpp
+++ b/endivestage/admission/load_bound.hpp
@@ -12,9 +12,13 @@
 /// \brief Parameters of load_bound.
 struct bound_policy
 {
-    double multiple = 1.25;           ///< Configured bound (I1).
-    double admission_multiple = 1.15; ///< m; below multiple, so that a falling mean leaves room.
-    millis max_mean_age{1000};        ///< An older mean raises no limit.
+    double multiple = 1.25; ///< Configured bound (I1).
+    /// Room left for a falling mean, in standard deviations of the pool's load. The load of a pool
+    /// with N requests varies by about the square root of N, so a large pool needs less room.
+    double fall_margin = 0.5;
+    /// Lowest admission multiple. At 1 or below, an evenly loaded pool could never take more work.
+    double least_multiple = 1.05;
+    millis max_mean_age{1000}; ///< An older mean raises no limit.
 };
 
 /// \brief Load and capacity of a pool as its aggregator sees them.
@@ -51,6 +55,9 @@
     /// \returns The limit in whole requests, at least 1.
     std::uint32_t limit(double weight) const;
 
+    /// \returns The admission multiple m, between the policy's least multiple and its multiple.
+    double admission_multiple() const;
+
     /// \returns The last mean, in requests per unit of weight.
     double mean() const { return mean_; }
 
@@ -60,6 +67,7 @@
 private:
     bound_policy policy_;
     double mean_ = 0.0;
+    double pool_load_ = 0.0;
     time_point taken_{};
     std::uint32_t frozen_ = 1;
     bool stale_ = true;
--- a/endivestage/placement/attempt.cpp
+++ b/endivestage/placement/attempt.cpp
@@ -6,10 +6,9 @@
 namespace endivestage
 {
 
-placement_attempt::placement_attempt(std::vector<std::size_t> ranked, std::uint32_t history_tokens,
+placement_attempt::placement_attempt(std::vector<std::size_t> ranked,
                                      const placement_policy& policy)
     : ranked_(std::move(ranked)),
-      history_tokens_(history_tokens),
       policy_(policy)
 {
 }
@@ -31,7 +30,7 @@
             engines.push_back(it.engine);
         }
     }
-    const std::optional<std::size_t> chosen = choose_offer(offers, history_tokens_, policy_);
+    const std::optional<std::size_t> chosen = choose_offer(offers, policy_);
     if (!chosen)
     {
         return next_round();
--- a/endivestage/placement/attempt.hpp
+++ b/endivestage/placement/attempt.hpp
@@ -43,9 +43,7 @@
 {
 public:
     /// \param ranked Candidates, best first, at least as many as all rounds ask when available.
-    /// \param history_tokens Tokens of the chat so far.
-    placement_attempt(std::vector<std::size_t> ranked, std::uint32_t history_tokens,
-                      const placement_policy& policy);
+    placement_attempt(std::vector<std::size_t> ranked, const placement_policy& policy);
 
     /// \returns The first step: ask, or give_up without candidates.
     placement_step start();
@@ -58,7 +56,6 @@
     placement_step next_round();
 
     std::vector<std::size_t> ranked_;
-    std::uint32_t history_tokens_;
     placement_policy policy_;
     std::size_t asked_ = 0;
     std::size_t rounds_ = 0;
--- a/endivestage/placement/offer.cpp
+++ b/endivestage/placement/offer.cpp
@@ -14,7 +14,7 @@
     return offer.load / offer.capacity;
 }
 
-bool better(const placement_offer& left, const placement_offer& right, bool by_rank,
+bool better(const placement_offer& left, const placement_offer& right,
             const placement_policy& policy)
 {
     const auto usable = [&](std::uint32_t tokens)
@@ -27,10 +27,6 @@
     {
         return left_cached > right_cached;
     }
-    if (by_rank)
-    {
-        return left.rank < right.rank;
-    }
     return std::tuple(relative_load(left), left.rank) <
            std::tuple(relative_load(right), right.rank);
 }
@@ -38,17 +34,15 @@
 } // namespace
 
 std::optional<std::size_t> choose_offer(std::span<const placement_offer> offers,
-                                        std::uint32_t history_tokens,
                                         const placement_policy& policy)
 {
     if (offers.empty())
     {
         return std::nullopt;
     }
-    const bool by_rank = policy.keep_home && history_tokens > 0;
     auto best = std::min_element(offers.begin(), offers.end(),
                                  [&](const placement_offer& left, const placement_offer& right)
-                                 { return better(left, right, by_rank, policy); });
+                                 { return better(left, right, policy); });
     return static_cast<std::size_t>(best - offers.begin());
 }
 
--- a/endivestage/placement/offer.hpp
+++ b/endivestage/placement/offer.hpp
@@ -25,10 +25,8 @@
 /// \brief Picks the engine with the longest cached prefix, else the lowest load per capacity.
 ///
 /// Equal offers are decided by rank, so that all routers choose alike.
-/// \param history_tokens Tokens of the chat so far; 0 for a new chat.
 /// \returns Position in \p offers, or nothing when there is no offer.
 std::optional<std::size_t> choose_offer(std::span<const placement_offer> offers,
-                                        std::uint32_t history_tokens,
                                         const placement_policy& policy);
 
 } // namespace endivestage
--- a/endivestage/placement/policy.hpp
+++ b/endivestage/placement/policy.hpp
@@ -16,7 +16,6 @@
     std::size_t rounds = 4;              ///< Rounds without waiting, the first one included.
     std::size_t wait_at = 1;             ///< Engines in whose queues a refused request waits.
     std::uint32_t min_cached_tokens = 1; ///< Shorter cached prefixes do not count as warm.
-    bool keep_home = false; ///< Without a warm offer, a chat with history goes to its first rank.
 };
 
 } // namespace endivestage
