Keep places above the mean for chats with a cached history

Cause: requests that have no cache to lose took the last places of engines and displaced chats that had one. Change: a request without a cached history is admitted up to 1.05 x mean only; it finds room on another candidate.

--- a/endivestage/admission/engine_gate.cpp
+++ b/endivestage/admission/engine_gate.cpp
@@ -62,7 +62,7 @@
 bool engine_gate::has_place(std::uint32_t cached_tokens) const
 {
     const std::uint32_t most = limit();
-    if (cached_tokens >= policy_.long_history)
+    if (cached_tokens >= policy_.kept_history)
     {
         return load() < most;
     }
--- a/endivestage/admission/engine_gate.hpp
+++ b/endivestage/admission/engine_gate.hpp
@@ -31,10 +31,10 @@
     double capacity = 1.0;           ///< Weight of the engine.
     std::uint32_t most_requests = 0; ///< Absolute limit of the engine; 0 for none.
     std::uint64_t cache_tokens = 1000000; ///< Tokens that the engine's prefix cache holds.
-    /// Multiple of the mean up to which requests without a long cached history are admitted. The
-    /// places above are kept for chats that would lose their cache elsewhere.
-    double open_multiple = 1.25;
-    std::uint32_t long_history = 4000; ///< Cached tokens from which a history is long.
+    /// Multiple of the mean up to which requests without a cached history are admitted. The places
+    /// above are kept for chats that would lose their cache elsewhere.
+    double open_multiple = 1.05;
+    std::uint32_t kept_history = 1; ///< Cached tokens from which a request may use these places.
 };
 
 /// \brief Load report of an engine.
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -545,7 +545,7 @@
 }
 
 // Guards against last places taken by short chats, which cost a long history its cache.
-TEST_CASE("the last places are reserved for long cached histories")
+TEST_CASE("the last places are kept for chats with a cached history")
 {
     gate_policy policy;
     policy.open_multiple = 0.9;
