Hand over the cache estimate when the owner of an engine changes

Cause: a new owner started with an empty estimate and offered no cached tokens, so resumed chats left their warm engine after a planned replacement of a router. Change: recency_index::entries and engine_gate::restore_cache; the model's planned replacements use them. It does not help after the death of an owner.

--- a/bench/simulation/fleet_impl.hpp
+++ b/bench/simulation/fleet_impl.hpp
@@ -420,10 +420,12 @@
 {
     const es::time_point now = loop_.time();
     std::vector<es::held_permit> held;
+    std::vector<es::recency_entry> cached;
     if (gates_[engine])
     {
         held = gates_[engine]->snapshot();
         handover = handover && gates_[engine]->ramp().warm();
+        cached = gates_[engine]->cache().entries();
         decide(engine, gates_[engine]->set_service(es::engine_service::leaving, now));
     }
     const std::vector<es::router_id> ask{es::router_id("all")};
@@ -434,6 +436,7 @@
     if (handover)
     {
         gates_[engine]->mark_warm(engines_[engine].incarnation(), now);
+        gates_[engine]->restore_cache(engines_[engine].incarnation(), cached);
     }
     if (!in_service_[engine])
     {
--- a/endivestage/admission/engine_gate.hpp
+++ b/endivestage/admission/engine_gate.hpp
@@ -128,6 +128,13 @@
     /// \brief The old owner's handover says that this incarnation of the engine is warm.
     std::vector<queue_decision> mark_warm(std::uint64_t incarnation, time_point now);
 
+    /// \brief Takes over the old owner's estimate of the engine's cache, cache().entries() there.
+    ///
+    /// Chats that this owner has recorded itself are kept as they are.
+    /// \param incarnation Incarnation that the estimate is of; another one than reported has no
+    /// effect.
+    void restore_cache(std::uint64_t incarnation, std::span<const recency_entry> entries);
+
     /// \returns All counted permits, for a handover to the next owner.
     std::vector<held_permit> snapshot() const;
 
--- a/endivestage/admission/engine_gate_events.cpp
+++ b/endivestage/admission/engine_gate_events.cpp
@@ -144,6 +144,24 @@
     return drain(now);
 }
 
+void engine_gate::restore_cache(std::uint64_t incarnation, std::span<const recency_entry> entries)
+{
+    if (incarnation_ && *incarnation_ != incarnation)
+    {
+        return;
+    }
+    incarnation_ = incarnation;
+    const std::vector<recency_entry> own = cache_.entries();
+    cache_.clear();
+    for (const std::span<const recency_entry> part : {entries, std::span(own)})
+    {
+        for (const recency_entry& it : part)
+        {
+            cache_.put(it.chat_key, it.tokens);
+        }
+    }
+}
+
 std::vector<held_permit> engine_gate::snapshot() const
 {
     std::vector<held_permit> held;
--- a/endivestage/placement/recency_index.cpp
+++ b/endivestage/placement/recency_index.cpp
@@ -53,6 +53,17 @@
     total_tokens_ = 0;
 }
 
+std::vector<recency_entry> recency_index::entries() const
+{
+    std::vector<recency_entry> all;
+    all.reserve(size());
+    for (std::uint32_t at = nodes_[0].newer; at != 0; at = nodes_[at].newer)
+    {
+        all.push_back({nodes_[at].key, nodes_[at].tokens});
+    }
+    return all;
+}
+
 std::uint32_t recency_index::take_node()
 {
     if (!free_.empty())
--- a/endivestage/placement/recency_index.hpp
+++ b/endivestage/placement/recency_index.hpp
@@ -12,6 +12,13 @@
 namespace endivestage
 {
 
+/// \brief A chat in an engine's prefix cache.
+struct recency_entry
+{
+    std::uint64_t chat_key = 0;
+    std::uint32_t tokens = 0;
+};
+
 /// \brief Estimate of one engine's prefix cache: chat to cached tokens, least recently used out
 /// first.
 ///
@@ -37,6 +44,10 @@
     /// \brief Forgets all chats: the engine has a new incarnation or lost its cache.
     void clear();
 
+    /// \returns All chats held, least recently used first, so that put() in this order on another
+    /// index restores it.
+    std::vector<recency_entry> entries() const;
+
     /// \returns Number of chats held.
     std::size_t size() const { return slots_.size(); }
 
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -544,6 +544,19 @@
     REQUIRE(silent.load() == 1);
 }
 
+// Guards against a new owner that sends chats away from their cache, or trusts a lost one.
+TEST_CASE("a new owner takes over the cache estimate of the same incarnation")
+{
+    const std::vector<recency_entry> entries{{chat_key(chat_id("c1")), 700}};
+    for (const std::uint64_t incarnation : {1, 2})
+    {
+        engine_gate gate = make_gate_with_limit(5);
+        gate.restore_cache(incarnation, entries);
+        const permit granted = std::get<permit>(gate.acquire(make_request(1), {1}));
+        REQUIRE(granted.cached_tokens == (incarnation == 1 ? 700 : 0));
+    }
+}
+
 // Guards against last places taken by short chats, which cost a long history its cache.
 TEST_CASE("the last places are kept for chats with a cached history")
 {
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -140,6 +140,14 @@
                           RC_ASSERT(index.size() == model.size());
                           RC_ASSERT(index.total_tokens() == total);
                       }
+                      recency_index copy(100);
+                      for (const recency_entry& it : index.entries())
+                      {
+                          copy.put(it.chat_key, it.tokens);
+                          RC_ASSERT(it.chat_key == model.back().first);
+                          model.pop_back();
+                      }
+                      RC_ASSERT(copy.size() == index.size());
                       index.clear();
                       RC_ASSERT(index.size() == 0 && index.total_tokens() == 0);
                   });
