--- a/endivestage/admission/engine_gate.hpp
+++ b/endivestage/admission/engine_gate.hpp
@@ -31,8 +31,10 @@
     double capacity = 1.0;           ///< Weight of the engine.
     std::uint32_t most_requests = 0; ///< Absolute limit of the engine; 0 for none.
     std::uint64_t cache_tokens = 1000000; ///< Tokens that the engine's prefix cache holds.
-    double reserved_share = 0.1;       ///< Share of the limit kept for chats with a long history.
-    std::uint32_t long_history = 4000; ///< Cached tokens from which a history is long.
+    /// Multiple of the mean up to which requests without a cached history are admitted. The places
+    /// above are kept for chats that would lose their cache elsewhere.
+    double open_multiple = 1.05;
+    std::uint32_t kept_history = 1; ///< Cached tokens from which a request may use these places.
 };
 
 /// \brief Load report of an engine.
@@ -126,14 +128,22 @@
     /// \brief The old owner's handover says that this incarnation of the engine is warm.
     std::vector<queue_decision> mark_warm(std::uint64_t incarnation, time_point now);
 
+    /// \brief Takes over the old owner's estimate of the engine's cache, cache().entries() there.
+    ///
+    /// Chats that this owner has recorded itself are kept as they are.
+    /// \param incarnation Incarnation that the estimate is of; another one than reported has no
+    /// effect.
+    void restore_cache(std::uint64_t incarnation, std::span<const recency_entry> entries);
+
     /// \returns All counted permits, for a handover to the next owner.
     std::vector<held_permit> snapshot() const;
 
     /// \returns The engine's entry in the owner's load digest, or nothing while it gets no new
     /// work.
     ///
-    /// The capacity of a cold engine is reduced to the share that its ramp allows: places that it
-    /// must not fill yet would lower the mean and with it the limits of the warm engines.
+    /// The capacity of a cold engine is reduced to the share that its ramp allows or its load uses,
+    /// whichever is larger: places that it must not fill yet would lower the mean and with it the
+    /// limits of the warm engines.
     std::optional<engine_load> digest() const;
 
     /// \returns Requests on the engine as counted by the owner.
@@ -158,6 +168,7 @@
         held_permit held;
         time_point issued;
         std::uint32_t ramp_epoch = 0;
+        std::uint32_t prefill = 0; // History tokens outside the cache.
     };
 
     std::error_code refusal(time_point now) const;
--- a/endivestage/admission/engine_gate_events.cpp
+++ b/endivestage/admission/engine_gate_events.cpp
@@ -125,7 +125,7 @@
     for (const held_permit& old : held)
     {
         // Epoch 0 with the ramp's first epoch would count as a completion of this owner's ramp.
-        const issued_permit issued{old, now, std::numeric_limits<std::uint32_t>::max()};
+        const issued_permit issued{old, now, std::numeric_limits<std::uint32_t>::max(), 0};
         added += permits_.emplace(old.key, issued).second ? 1U : 0U;
     }
     account_.restore(added, now);
@@ -144,6 +144,24 @@
     return drain(now);
 }
 
+void engine_gate::restore_cache(std::uint64_t incarnation, std::span<const recency_entry> entries)
+{
+    if (incarnation_ && *incarnation_ != incarnation)
+    {
+        return;
+    }
+    incarnation_ = incarnation;
+    const std::vector<recency_entry> own = cache_.entries();
+    cache_.clear();
+    for (const std::span<const recency_entry> part : {entries, std::span(own)})
+    {
+        for (const recency_entry& it : part)
+        {
+            cache_.put(it.chat_key, it.tokens);
+        }
+    }
+}
+
 std::vector<held_permit> engine_gate::snapshot() const
 {
     std::vector<held_permit> held;
@@ -161,7 +179,9 @@
         return std::nullopt;
     }
     const double expected = bound_.mean() * policy_.capacity;
-    const double share = expected > 0.0 ? std::min(1.0, ramp_.allowance() / expected) : 1.0;
+    // An engine that turned cold under load counts at least with the capacity that its load uses.
+    const double usable = std::max(ramp_.allowance(), load());
+    const double share = expected > 0.0 ? std::min(1.0, usable / expected) : 1.0;
     return engine_load{engine_, load(), policy_.capacity * share};
 }
 
