Adapt the daemon to the admission policy of the pool's size

Cause: the admission multiple follows the size of the pool now and placement no longer needs the history. Change: the daemon passes only the configured bound. Before: the daemon did not compile against the new modules.

--- a/endivestage/daemon/admission_service.cpp
+++ b/endivestage/daemon/admission_service.cpp
@@ -53,10 +53,6 @@
     gate_policy policy;
     policy.capacity = engine.capacity;
     policy.bound.multiple = source.load_bound;
-    // Keeps the margin that the default admission multiple has below the default bound.
-    const bound_policy defaults;
-    policy.bound.admission_multiple =
-        std::max(1.0, source.load_bound * defaults.admission_multiple / defaults.multiple);
     policy.ramp.start = source.cold_start_permits;
     policy.ramp.first_token_target = source.first_token_target;
     policy.report_lag = timing.report_lag;
--- a/endivestage/daemon/placement_service.cpp
+++ b/endivestage/daemon/placement_service.cpp
@@ -88,8 +88,7 @@
     policy.first_asked = settings->candidates;
     const candidate_ranking ranking(to_pool_engines(usable, excluded));
     const std::size_t wanted = policy.first_asked + policy.fallback_asked * (policy.rounds - 1);
-    placement_attempt attempt(ranking.candidates(chat_key(request.chat), wanted),
-                              request.history_tokens, policy);
+    placement_attempt attempt(ranking.candidates(chat_key(request.chat), wanted), policy);
     std::error_code refusal = make_error_code(errc::no_endpoint);
     std::map<std::size_t, holding> offers;
     for (placement_step step = attempt.start();;)
