Hand engines over between owners and drop tickets of earlier tries

Cause: a new owner used a rebuild of its own that ended when all present routers had answered, which misses permits of routers that left the view earlier; and a granted ticket of an earlier try of a request was given to a later try, so that its permit was counted for 5 s without a holder. Change: owner_rebuild decides when a new owner may issue; the previous owner hands over its account, the warm state and the cache estimate; permits are returned to issuer and owner; tickets are compared; callers that leave while their request waits release the permit unused; suspicion is two periods shorter; the clock is CLOCK_BOOTTIME.

--- a/endivestage/daemon/admission_service.cpp
+++ b/endivestage/daemon/admission_service.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
+#include <set>
 #include <utility>
 
 namespace endivestage::daemon
@@ -27,6 +28,10 @@
 /// Permits older than this are checked with their holder, in case a release was lost.
 constexpr millis reconcile_age{5000};
 constexpr millis aggregate_retention{2000};
+constexpr millis handover_retention{30000};
+/// A report that took longer is dropped: the process may have been paused, and the report shows a
+/// state too old for the account of the load.
+constexpr millis oldest_report{500};
 
 engine_service to_service(endpoint_status status)
 {
@@ -74,11 +79,6 @@
     return report;
 }
 
-json::object encode_key(const endpoint_id& engine, const permit_key& key)
-{
-    return {{"engine", engine.str()}, {"view", key.view}, {"sequence", key.sequence}};
-}
-
 json::object encode_mean(const std::optional<pool_mean>& mean)
 {
     json::object object;
@@ -160,14 +160,16 @@
                                          static_cast<std::uint32_t>(get_unsigned(body, "renewal")));
                          co_return json::object{{"waits", waits}};
                      });
-    node_.rpc.handle("/permit/release",
-                     [this](router_id, const json::object& body) -> awaitable<rpc_answer>
-                     {
-                         release_local(endpoint_id(get_text(body, "engine")),
-                                       {get_unsigned(body, "view"), get_unsigned(body, "sequence")},
-                                       decode_outcome(body));
-                         co_return json::object{};
-                     });
+    node_.rpc.handle(
+        "/permit/release",
+        [this](router_id, const json::object& body) -> awaitable<rpc_answer>
+        {
+            const permit_key key{get_unsigned(body, "view"), get_unsigned(body, "sequence")};
+            const message_origin owner{router_id(get_text(body, "owner")),
+                                       get_unsigned(body, "owner_incarnation")};
+            release_local(endpoint_id(get_text(body, "engine")), key, owner, decode_outcome(body));
+            co_return json::object{};
+        });
     node_.rpc.handle("/permit/held",
                      [this](router_id, const json::object& body) -> awaitable<rpc_answer>
                      {
@@ -178,13 +180,8 @@
                          {
                              co_return make_error_code(errc::stale_view);
                          }
-                         json::array list;
-                         for (const held_permit& held :
-                              held_on(endpoint_id(get_text(body, "engine"))))
-                         {
-                             list.push_back(encode(held));
-                         }
-                         co_return json::object{{"held", std::move(list)}};
+                         co_return encode(
+                             report_held(endpoint_id(get_text(body, "engine")), present->number));
                      });
     node_.rpc.handle("/load/digest", [this](router_id from, const json::object& body)
                      { return on_digest(std::move(from), body); });
@@ -207,10 +204,10 @@
         owned_engine& owned = it->second;
         const time_point now = node_.time.now();
         owned.view_number = present ? present->number : owned.view_number;
-        const time_point until = right ? now + millis{1} : now;
-        take_decisions(engine, owned, owned.gate.set_confirmed(owned.view_number, until, now),
-                       calls);
-        take_decisions(engine, owned, work(owned, now), calls);
+        const bool may_issue = right && owned.rebuild.complete();
+        const time_point until = may_issue ? now + millis{1} : now;
+        take_decisions(owned, owned.gate.set_confirmed(owned.view_number, until, now), calls);
+        take_decisions(owned, work(owned, now), calls);
     }
     for (const std::function<void()>& call : calls)
     {
@@ -224,23 +221,63 @@
     return encode(granted_permit{value, cluster_.origin()});
 }
 
-void admission_service::take_decisions(const endpoint_id&, owned_engine& owned,
-                                       std::vector<queue_decision> decisions,
+void admission_service::take_decisions(owned_engine& owned, std::vector<queue_decision> decisions,
                                        pending_calls& calls) const
 {
-    for (queue_decision& decision : decisions)
+    while (!decisions.empty())
+    {
+        std::vector<queue_decision> more;
+        for (queue_decision& decision : decisions)
+        {
+            const permit* issued = std::get_if<permit>(&decision.answer);
+            const auto it = owned.waiting.find({decision.request.holder, decision.request.request});
+            if (it == owned.waiting.end() || it->second.ticket != decision.ticket)
+            {
+                // A ticket of an earlier try of the request: nobody would use or return the permit.
+                if (issued != nullptr)
+                {
+                    std::vector<queue_decision> freed =
+                        owned.gate.release(issued->key, {}, node_.time.now());
+                    more.insert(more.end(), freed.begin(), freed.end());
+                }
+                continue;
+            }
+            if (issued != nullptr)
+            {
+                note_issued(owned, *issued, node_.time.now());
+            }
+            rpc_answer answer =
+                issued != nullptr ? make_answer(*issued) : rpc_answer(std::get<1>(decision.answer));
+            calls.emplace_back([done = std::move(it->second.done), answer = std::move(answer)]
+                               { done(answer); });
+            owned.waiting.erase(it);
+        }
+        decisions = std::move(more);
+    }
+}
+
+void admission_service::note_issued(owned_engine& owned, const permit& issued, time_point now) const
+{
+    owned.issued.emplace(issued.key, now);
+}
+
+// Own permits that the gate no longer counts have been returned or found lost.
+void admission_service::forget_returned(const endpoint_id& engine, owned_engine& owned) const
+{
+    std::set<permit_key> counted;
+    for (const held_permit& held : owned.gate.snapshot())
     {
-        const auto it = owned.waiting.find({decision.request.holder, decision.request.request});
-        if (it == owned.waiting.end())
+        counted.insert(held.key);
+    }
+    for (auto it = owned.issued.begin(); it != owned.issued.end();)
+    {
+        if (counted.contains(it->first))
         {
+            ++it;
             continue;
         }
-        const permit* issued = std::get_if<permit>(&decision.answer);
-        rpc_answer answer =
-            issued != nullptr ? make_answer(*issued) : rpc_answer(std::get<1>(decision.answer));
-        calls.emplace_back([done = std::move(it->second.done), answer = std::move(answer)]
-                           { done(answer); });
-        owned.waiting.erase(it);
+        owned.rebuild.on_returned(make_stamp(engine, it->first, cluster_.origin()));
+        it = owned.issued.erase(it);
     }
 }
 
@@ -254,6 +291,7 @@
         const permit_answer answer = owned.gate.acquire(request, now);
         if (const permit* issued = std::get_if<permit>(&answer))
         {
+            note_issued(owned, *issued, now);
             immediate = make_answer(*issued);
         }
         else if (const queue_ticket* ticket = std::get_if<queue_ticket>(&answer))
@@ -310,10 +348,15 @@
 }
 
 void admission_service::release_local(const endpoint_id& engine, permit_key key,
-                                      const permit_outcome& outcome)
+                                      const message_origin& owner, const permit_outcome& outcome)
 {
-    with_gate(engine, [&](owned_engine& owned, time_point now)
-              { return owned.gate.release(key, outcome, now); });
+    with_gate(engine,
+              [&](owned_engine& owned, time_point now)
+              {
+                  owned.issued.erase(key);
+                  owned.rebuild.on_returned(make_stamp(engine, key, owner));
+                  return owned.gate.release(key, outcome, now);
+              });
 }
 
 // Keeps a waiting request in the owner's queue and notes when each renewal was sent, from which
@@ -421,24 +464,41 @@
         const std::scoped_lock lock(mutex_);
         held_.erase({held.engine, held.granted.value.key});
     }
-    // The present owner counts the permit, also when another router issued it.
+    // The present owner counts the permit, also when another router issued it; the issuer hands its
+    // account over without it.
     const view_pointer present = cluster_.view_now();
     const member* owner = present ? owner_of(*present, held.engine) : nullptr;
-    if (owner == nullptr || owner->id == node_.settings.id)
+    const member* issuer = present ? find_member(present->members, held.granted.owner.id) : nullptr;
+    if (owner != nullptr)
     {
-        release_local(held.engine, held.granted.value.key, outcome);
-        return;
+        return_permit(*owner, held, outcome);
     }
-    json::object body = encode(outcome);
-    for (json::key_value_pair& field : encode_key(held.engine, held.granted.value.key))
+    if (issuer != nullptr && issuer != owner)
     {
-        body[field.key()] = field.value();
+        return_permit(*issuer, held, outcome);
     }
+}
+
+void admission_service::return_permit(const member& to, const holding& held,
+                                      const permit_outcome& outcome)
+{
+    const permit_key key = held.granted.value.key;
+    if (to.id == node_.settings.id)
+    {
+        release_local(held.engine, key, held.granted.owner, outcome);
+        return;
+    }
+    json::object body = encode(outcome);
+    body["engine"] = held.engine.str();
+    body["view"] = key.view;
+    body["sequence"] = key.sequence;
+    body["owner"] = held.granted.owner.id.str();
+    body["owner_incarnation"] = held.granted.owner.incarnation;
     spawn(node_.io,
-          [this, to = peer_address{owner->host, owner->port}, body]() -> awaitable<void>
+          [this, address = peer_address_of(to), body]() -> awaitable<void>
           {
               json::object content = body;
-              co_await node_.rpc.call(to, "/permit/release", std::move(content), peer_timeout);
+              co_await node_.rpc.call(address, "/permit/release", std::move(content), peer_timeout);
           });
 }
 
@@ -448,19 +508,30 @@
     return held_.size();
 }
 
-std::vector<held_permit> admission_service::held_on(const endpoint_id& engine) const
+held_report admission_service::report_held(const endpoint_id& engine, std::uint64_t view_number)
 {
-    std::vector<held_permit> list;
+    held_report report;
+    report.from = cluster_.origin();
+    report.view_number = view_number;
     const std::scoped_lock lock(mutex_);
     for (const std::pair<const held_key, holding>& entry : held_)
     {
-        if (entry.first.first == engine)
+        const holding& held = entry.second;
+        if (held.engine == engine)
         {
-            list.push_back(
-                {entry.first.second, node_.settings.id, entry.second.request, entry.second.chat});
+            report.permits.push_back(
+                {{held.granted.value.key, node_.settings.id, held.request, held.chat},
+                 held.granted.owner});
         }
     }
-    return list;
+    const time_point now = node_.time.now();
+    std::erase_if(handovers_, [now](const auto& entry) { return entry.second.until < now; });
+    const auto it = handovers_.find(engine);
+    if (it != handovers_.end())
+    {
+        report.handover = it->second.value;
+    }
+    return report;
 }
 
 std::vector<endpoint_id> admission_service::owned_engines() const
@@ -505,27 +576,17 @@
     {
         return;
     }
-    const bool nobody_before = takeover.previous_known && takeover.previous_owner.id.empty();
-    std::vector<router_id> ask;
-    std::vector<member> to_ask;
-    for (const std::vector<member>* members : {&takeover.in->members, &takeover.in->previous})
-    {
-        for (const member& who : *members)
-        {
-            if (!nobody_before && std::find(ask.begin(), ask.end(), who.id) == ask.end())
-            {
-                ask.push_back(who.id);
-                to_ask.push_back(who);
-            }
-        }
-    }
     const time_point now = node_.time.now();
-    owned_engine owned{engine_gate(found->policy, takeover.endpoint, takeover.in->number, ask, now),
+    rebuild_config config;
+    config.time_to_use = node_.settings.timing.permit_time_to_use;
+    config.report_lag = node_.settings.timing.report_lag;
+    owned_engine owned{engine_gate(found->policy, takeover.endpoint, takeover.in->number, {}, now),
                        found->policy,
                        found->pool,
                        found->address,
                        {},
-                       std::move(to_ask),
+                       owner_rebuild(config, takeover),
+                       {},
                        takeover.in->number};
     {
         const std::scoped_lock lock(mutex_);
@@ -551,6 +612,9 @@
             calls.emplace_back([done = std::move(entry.second.done)]
                                { done(make_error_code(errc::not_owner)); });
         }
+        handovers_.insert_or_assign(ended.endpoint,
+                                    kept_handover{make_handover(ended.endpoint, it->second, ended),
+                                                  node_.time.now() + handover_retention});
         owned_.erase(it);
     }
     for (const std::function<void()>& call : calls)
@@ -559,6 +623,33 @@
     }
 }
 
+engine_handover admission_service::make_handover(const endpoint_id& engine,
+                                                 const owned_engine& owned,
+                                                 const stopped_owning& ended) const
+{
+    engine_handover handover;
+    handover.account.ended_in = ended.ended_in;
+    handover.account.complete = ended.account_complete && owned.rebuild.settled();
+    handover.account.outstanding = owned.rebuild.known();
+    for (const held_permit& held : owned.gate.snapshot())
+    {
+        if (owned.issued.contains(held.key))
+        {
+            // The incarnation of the holder is not known here; the newest one covers all.
+            handover.account.outstanding.push_back(
+                {make_stamp(engine, held.key, cluster_.origin()), {held.holder, 0}});
+        }
+    }
+    handover.incarnation = owned.incarnation;
+    handover.warm = owned.gate.ramp().warm();
+    handover.cache = owned.gate.cache().entries();
+    if (handover.cache.size() > max_handover_entries)
+    {
+        handover.cache.erase(handover.cache.begin(), handover.cache.end() - max_handover_entries);
+    }
+    return handover;
+}
+
 void admission_service::on_router_dead(const router_id& router)
 {
     for (const endpoint_id& engine : owned_engines())
@@ -600,6 +691,9 @@
 
 awaitable<void> admission_service::poll_engine(endpoint_id engine, network_address address)
 {
+    const millis visible_after =
+        node_.settings.timing.permit_time_to_use + node_.settings.timing.report_lag;
+    const time_point asked = node_.time.now();
     http_request request;
     request.target = "/v1/load";
     const result<http_response> response =
@@ -610,11 +704,25 @@
         usable ? parse_json_object(response->body)
                : result<json::object>(make_error_code(errc::endpoint_unavailable));
     with_gate(engine,
-              [&body](owned_engine& owned, time_point now) -> std::vector<queue_decision>
+              [&](owned_engine& owned, time_point now) -> std::vector<queue_decision>
               {
                   owned.polling = false;
-                  return body ? owned.gate.report(decode_report(*body), now)
-                              : std::vector<queue_decision>{};
+                  if (!body || now - asked > oldest_report)
+                  {
+                      return {};
+                  }
+                  const engine_report report = decode_report(*body);
+                  owned.incarnation = report.incarnation;
+                  std::vector<permit_stamp> visible;
+                  for (const std::pair<const permit_key, time_point>& entry : owned.issued)
+                  {
+                      if (asked - entry.second >= visible_after)
+                      {
+                          visible.push_back(make_stamp(engine, entry.first, cluster_.origin()));
+                      }
+                  }
+                  owned.rebuild.on_report(report.running + report.waiting, asked, visible);
+                  return owned.gate.report(report, now);
               });
 }
 
@@ -633,13 +741,10 @@
         for (std::pair<const endpoint_id, owned_engine>& entry : owned_)
         {
             owned_engine& owned = entry.second;
-            if (!owned.gate.rebuilding())
-            {
-                owned.to_ask.clear();
-            }
-            questions.push_back({entry.first, owned.to_ask,
+            forget_returned(entry.first, owned);
+            questions.push_back({entry.first, owned.rebuild.tick(node_.time.now()),
                                  owned.gate.holders_to_ask(reconcile_age, node_.time.now()),
-                                 owned.view_number});
+                                 owned.rebuild.in().number});
         }
     }
     for (const question& entry : questions)
@@ -657,12 +762,12 @@
     }
 }
 
-awaitable<result<std::vector<held_permit>>>
-admission_service::fetch_held(endpoint_id engine, member who, std::uint64_t view_number)
+awaitable<result<held_report>> admission_service::fetch_held(endpoint_id engine, member who,
+                                                             std::uint64_t view_number)
 {
     if (who.id == node_.settings.id)
     {
-        co_return held_on(engine);
+        co_return report_held(engine, view_number);
     }
     json::object body{{"engine", engine.str()}, {"view", view_number}};
     const rpc_answer answer = co_await node_.rpc.call(peer_address_of(who), "/permit/held",
@@ -671,32 +776,57 @@
     {
         co_return answer.error();
     }
-    std::vector<held_permit> list;
-    for (const json::value& entry : get_array(*answer, "held"))
-    {
-        if (entry.is_object())
-        {
-            list.push_back(decode_held(entry.get_object()));
-        }
-    }
-    co_return list;
+    co_return decode_held_report(engine, *answer);
 }
 
 awaitable<void> admission_service::ask_rebuild(endpoint_id engine, member who,
                                                std::uint64_t view_number)
 {
-    const result<std::vector<held_permit>> held = co_await fetch_held(engine, who, view_number);
-    if (!held)
+    const result<held_report> report = co_await fetch_held(engine, who, view_number);
+    if (report)
     {
-        co_return;
+        with_gate(engine, [&](owned_engine& owned, time_point now)
+                  { return take_report(engine, owned, *report, now); });
     }
-    with_gate(engine,
-              [&](owned_engine& owned, time_point now)
-              {
-                  std::erase_if(owned.to_ask,
-                                [&who](const member& other) { return other.id == who.id; });
-                  return owned.gate.restore(who.id, *held, now);
-              });
+}
+
+// The gate counts the permits; the rebuild decides when the count is complete.
+std::vector<queue_decision> admission_service::take_report(const endpoint_id& engine,
+                                                           owned_engine& owned,
+                                                           const held_report& report,
+                                                           time_point now) const
+{
+    if (owned.rebuild.complete())
+    {
+        return {};
+    }
+    held_answer answer;
+    answer.from = report.from;
+    answer.view_number = report.view_number;
+    std::vector<held_permit> held;
+    for (const reported_permit& permit : report.permits)
+    {
+        const permit_stamp stamp = make_stamp(engine, permit.held.key, permit.owner);
+        answer.permits.push_back({stamp, report.from});
+        held.push_back(permit.held);
+    }
+    if (report.handover)
+    {
+        answer.account = report.handover->account;
+    }
+    owned.rebuild.on_answer(answer, now);
+    std::vector<queue_decision> decided = owned.gate.restore(report.from.id, held, now);
+    if (report.handover && report.handover->incarnation != 0)
+    {
+        owned.gate.restore_cache(report.handover->incarnation, report.handover->cache);
+        if (report.handover->warm)
+        {
+            std::vector<queue_decision> more =
+                owned.gate.mark_warm(report.handover->incarnation, now);
+            decided.insert(decided.end(), more.begin(), more.end());
+        }
+    }
+    return decided;
 }
 
 awaitable<void> admission_service::ask_reconcile(endpoint_id engine, router_id holder)
@@ -708,16 +838,15 @@
         co_return;
     }
     const time_point asked = node_.time.now();
-    const result<std::vector<held_permit>> held =
-        co_await fetch_held(engine, *who, present->number);
-    if (!held)
+    const result<held_report> report = co_await fetch_held(engine, *who, present->number);
+    if (!report)
     {
         co_return;
     }
     std::vector<permit_key> keys;
-    for (const held_permit& entry : *held)
+    for (const reported_permit& permit : report->permits)
     {
-        keys.push_back(entry.key);
+        keys.push_back(permit.held.key);
     }
     with_gate(engine, [&](owned_engine& owned, time_point now)
               { return owned.gate.reconcile(holder, keys, asked, now); });
@@ -830,7 +959,7 @@
                                     {"limit", gate.limit()},
                                     {"waiting", gate.waiting()},
                                     {"warm", gate.ramp().warm()},
-                                    {"rebuilding", gate.rebuilding()},
+                                    {"rebuilding", !entry.second.rebuild.complete()},
                                     {"cached_chats", gate.cache().size()}});
     }
     return list;
--- a/endivestage/daemon/admission_service.hpp
+++ b/endivestage/daemon/admission_service.hpp
@@ -83,9 +83,17 @@
         pool_id pool;
         network_address address;
         std::map<waiting_key, waiting_caller> waiting;
-        std::vector<member> to_ask; ///< Routers whose held permits are not yet known.
+        owner_rebuild rebuild;                   ///< Decides when the count is complete (R6).
+        std::map<permit_key, time_point> issued; ///< Own permits that are out, by issue time.
         std::uint64_t view_number = 0;
-        bool polling = false; ///< A load report is under way.
+        std::uint64_t incarnation = 0; ///< Of the engine, as last reported.
+        bool polling = false;          ///< A load report is under way.
+    };
+
+    struct kept_handover
+    {
+        engine_handover value;
+        time_point until; ///< When it is dropped.
     };
 
     struct owned_aggregate
@@ -106,8 +114,8 @@
     using gate_work = std::function<std::vector<queue_decision>(owned_engine&, time_point)>;
 
     bool with_gate(const endpoint_id& engine, const gate_work& work);
-    void take_decisions(const endpoint_id& engine, owned_engine& owned,
-                        std::vector<queue_decision> decisions, pending_calls& calls) const;
+    void take_decisions(owned_engine& owned, std::vector<queue_decision> decisions,
+                        pending_calls& calls) const;
     rpc_answer make_answer(const permit& value) const;
     void acquire_local(const acquire_message& message, answer_callback done);
     awaitable<rpc_answer> acquire_here(acquire_message message);
@@ -115,17 +123,25 @@
     awaitable<void> renew_while_waiting(member owner, acquire_message message,
                                         std::shared_ptr<std::vector<time_point>> sent);
     bool renew_local(const waiting_key& key, const endpoint_id& engine, std::uint32_t renewal);
-    void release_local(const endpoint_id& engine, permit_key key, const permit_outcome& outcome);
+    void release_local(const endpoint_id& engine, permit_key key, const message_origin& owner,
+                       const permit_outcome& outcome);
+    void return_permit(const member& to, const holding& held, const permit_outcome& outcome);
     std::optional<engine_configuration> find_engine(const endpoint_id& engine) const;
-    std::vector<held_permit> held_on(const endpoint_id& engine) const;
+    held_report report_held(const endpoint_id& engine, std::uint64_t view_number);
     std::vector<endpoint_id> owned_engines() const;
     awaitable<void> poll_engine(endpoint_id engine, network_address address);
     void poll_engines();
     void ask_holders();
     awaitable<void> ask_rebuild(endpoint_id engine, member who, std::uint64_t view_number);
+    std::vector<queue_decision> take_report(const endpoint_id& engine, owned_engine& owned,
+                                            const held_report& report, time_point now) const;
+    engine_handover make_handover(const endpoint_id& engine, const owned_engine& owned,
+                                  const stopped_owning& ended) const;
+    void note_issued(owned_engine& owned, const permit& issued, time_point now) const;
+    void forget_returned(const endpoint_id& engine, owned_engine& owned) const;
     awaitable<void> ask_reconcile(endpoint_id engine, router_id holder);
-    awaitable<result<std::vector<held_permit>>> fetch_held(endpoint_id engine, member who,
-                                                           std::uint64_t view_number);
+    awaitable<result<held_report>> fetch_held(endpoint_id engine, member who,
+                                              std::uint64_t view_number);
     void send_digests();
     awaitable<void> send_digest(pool_id pool, std::uint64_t view_number,
                                 std::vector<engine_load> loads);
@@ -147,6 +163,7 @@
     std::map<endpoint_id, owned_engine> owned_;
     std::map<held_key, holding> held_;
     std::map<pool_id, owned_aggregate> aggregates_;
+    std::map<endpoint_id, kept_handover> handovers_;
 };
 
 } // namespace endivestage::daemon
--- a/endivestage/daemon/chat_session.cpp
+++ b/endivestage/daemon/chat_session.cpp
@@ -117,8 +117,16 @@
 
 awaitable<bool> chat_session::place()
 {
+    writer_.on_caller_left([this] { on_caller_left(); });
     const result<placed_request> placed =
         co_await service_.placement_.place(request_.placement, failed_engines_);
+    if (placed && caller_left_)
+    {
+        // Nothing was sent for a caller that left while its request waited.
+        held_ = placed->held;
+        release(permit_outcome::kind::unused);
+        co_return false;
+    }
     if (!placed)
     {
         const errc code = to_errc(placed.error());
@@ -214,7 +222,10 @@
 awaitable<chat_session::relay_end> chat_session::relay(bool resume)
 {
     stall_.emplace(make_stall_limits(node_), node_.time.now());
-    writer_.on_caller_left([this] { on_caller_left(); });
+    if (resume)
+    {
+        writer_.on_caller_left([this] { on_caller_left(); });
+    }
     const std::error_code ec = co_await open(resume);
     if (caller_left_)
     {
--- a/endivestage/daemon/cluster_service.cpp
+++ b/endivestage/daemon/cluster_service.cpp
@@ -32,6 +32,9 @@
     swim_config config;
     config.period = timing.probe_period;
     config.timeout = timing.probe_timeout;
+    // The default of three periods makes a dead owner's engines wait two seconds longer; a false
+    // alarm costs one view change only.
+    config.suspicion_periods = 1.0;
     return config;
 }
 
@@ -276,6 +279,12 @@
         }
         else if (const view_adopted* adopted = std::get_if<view_adopted>(&action))
         {
+            membership_actions learned;
+            {
+                const std::scoped_lock lock(mutex_);
+                learned = detector_.learn(adopted->adopted->members, node_.time.now());
+            }
+            run(std::move(learned), node_.settings.id);
             node_.events.record(adopted->adopted->state == view_state::active
                                     ? event_kind::view_active
                                     : event_kind::view_proposed,
--- a/endivestage/daemon/event_recorder.cpp
+++ b/endivestage/daemon/event_recorder.cpp
@@ -2,6 +2,8 @@
 
 #include <endivestage/daemon/logging.hpp>
 
+#include <span>
+
 namespace endivestage::daemon
 {
 
@@ -17,13 +19,21 @@
 void event_recorder::record(event_kind kind, event_fields fields, request_id request,
                             endpoint_id endpoint)
 {
-    std::string details;
+    std::vector<log_field> line;
+    if (!request.empty())
+    {
+        line.emplace_back("request", request);
+    }
+    if (!endpoint.empty())
+    {
+        line.emplace_back("endpoint", endpoint);
+    }
     for (const std::pair<std::string, std::string>& field : fields)
     {
-        details += (details.empty() ? "" : " ") + field.first + "=" + field.second;
+        line.emplace_back(field.first == "error" ? std::string_view("reason") : field.first,
+                          field.second);
     }
-    log_event(log_level::info, to_string(kind),
-              {{"request", request}, {"endpoint", endpoint}, {"details", details}});
+    log_event(log_level::info, to_string(kind), std::span<const log_field>(line));
     timeline_event event;
     event.router = self_;
     event.zone = zone_;
--- a/endivestage/daemon/logging.cpp
+++ b/endivestage/daemon/logging.cpp
@@ -161,7 +161,7 @@
 }
 
 std::string format_event(time_point wall, const log_options& options, log_level level,
-                         std::string_view event, std::initializer_list<log_field> fields)
+                         std::string_view event, std::span<const log_field> fields)
 {
     std::string line;
     append_field(line, "time", iso_time(wall));
@@ -226,7 +226,7 @@
     }
 }
 
-void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+void log_event(log_level level, std::string_view event, std::span<const log_field> fields)
 {
     assert(valid_key(event));
     const std::int64_t wall = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/endivestage/daemon/logging.hpp
+++ b/endivestage/daemon/logging.hpp
@@ -8,6 +8,7 @@
 
 #include <concepts>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -69,12 +70,24 @@
 
 /// \brief Writes one line. Thread-safe; dropped before start_logging.
 /// \param event Snake_case name of what happened.
-void log_event(log_level level, std::string_view event,
-               std::initializer_list<log_field> fields = {});
+void log_event(log_level level, std::string_view event, std::span<const log_field> fields);
+/// \copydoc log_event
+inline void log_event(log_level level, std::string_view event,
+                      std::initializer_list<log_field> fields = {})
+{
+    log_event(level, event, std::span<const log_field>(fields.begin(), fields.size()));
+}
 
 /// \returns The line that log_event writes, without a line end.
 /// \param wall Milliseconds since the Unix epoch.
 std::string format_event(time_point wall, const log_options& options, log_level level,
-                         std::string_view event, std::initializer_list<log_field> fields);
+                         std::string_view event, std::span<const log_field> fields);
+/// \copydoc format_event
+inline std::string format_event(time_point wall, const log_options& options, log_level level,
+                                std::string_view event, std::initializer_list<log_field> fields)
+{
+    return format_event(wall, options, level, event,
+                        std::span<const log_field>(fields.begin(), fields.size()));
+}
 
 } // namespace endivestage::daemon
--- a/endivestage/daemon/placement_service.cpp
+++ b/endivestage/daemon/placement_service.cpp
@@ -64,6 +64,8 @@
         {
             co_return placed;
         }
+        node_.events.record(event_kind::permit_refused, {{"error", placed.error().message()}},
+                            request.request);
         const millis delay = retry_backoff(replace_backoff, attempt, node_.random);
         if (node_.time.now() + delay >= request.deadline)
         {
--- a/endivestage/daemon/process_clock.hpp
+++ b/endivestage/daemon/process_clock.hpp
@@ -4,7 +4,8 @@
 
 #include <endivestage/core.hpp>
 
-#include <chrono>
+#include <cstdint>
+#include <ctime>
 
 namespace endivestage::daemon
 {
@@ -13,16 +14,17 @@
 class process_clock final : public clock
 {
 public:
-    time_point now() const override { return read<std::chrono::steady_clock>(); }
-    time_point wall_now() const override { return read<std::chrono::system_clock>(); }
+    // CLOCK_BOOTTIME goes on while the machine is suspended, so that a confirmation cannot outlive
+    // a suspension.
+    time_point now() const override { return read(CLOCK_BOOTTIME); }
+    time_point wall_now() const override { return read(CLOCK_REALTIME); }
 
 private:
-    template <class Clock>
-    static time_point read()
+    static time_point read(clockid_t source)
     {
-        return {
-            std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now().time_since_epoch())
-                .count()};
+        timespec t{};
+        clock_gettime(source, &t);
+        return {static_cast<std::int64_t>(t.tv_sec) * 1000 + t.tv_nsec / 1000000};
     }
 };
 
--- a/endivestage/daemon/wire.cpp
+++ b/endivestage/daemon/wire.cpp
@@ -109,6 +109,61 @@
     object["sequence"] = key.sequence;
 }
 
+json::object encode_handover(const engine_handover& handover)
+{
+    json::array outstanding;
+    for (const outstanding_permit& permit : handover.account.outstanding)
+    {
+        json::object object{
+            {"owner", encode_origin({permit.stamp.owner, permit.stamp.owner_incarnation})},
+            {"holder", encode_origin(permit.holder)}};
+        put_key(object, {permit.stamp.view_number, permit.stamp.sequence});
+        outstanding.push_back(std::move(object));
+    }
+    json::array cache;
+    for (const recency_entry& entry : handover.cache)
+    {
+        cache.push_back(json::array{entry.chat_key, entry.tokens});
+    }
+    return {{"ended_in", handover.account.ended_in},
+            {"complete", handover.account.complete},
+            {"outstanding", std::move(outstanding)},
+            {"incarnation", handover.incarnation},
+            {"warm", handover.warm},
+            {"cache", std::move(cache)}};
+}
+
+engine_handover decode_handover(const endpoint_id& engine, const json::object& object)
+{
+    engine_handover handover;
+    handover.account.ended_in = get_unsigned(object, "ended_in");
+    handover.account.complete = get_flag(object, "complete");
+    for (const json::value& value : get_array(object, "outstanding"))
+    {
+        if (const json::object* permit = value.if_object())
+        {
+            const message_origin owner = decode_origin(get_object(*permit, "owner"));
+            handover.account.outstanding.push_back({make_stamp(engine, decode_key(*permit), owner),
+                                                    decode_origin(get_object(*permit, "holder"))});
+        }
+    }
+    handover.incarnation = get_unsigned(object, "incarnation");
+    handover.warm = get_flag(object, "warm");
+    for (const json::value& value : get_array(object, "cache"))
+    {
+        const json::array* entry = value.if_array();
+        if (entry != nullptr && entry->size() == 2 && (*entry)[0].is_number() &&
+            (*entry)[1].is_number())
+        {
+            json::error_code ec;
+            const std::uint64_t key = (*entry)[0].to_number<std::uint64_t>(ec);
+            const std::uint32_t tokens = (*entry)[1].to_number<std::uint32_t>(ec);
+            handover.cache.push_back({key, tokens});
+        }
+    }
+    return handover;
+}
+
 } // namespace
 
 peer_address peer_address_of(const member& who)
@@ -237,18 +292,54 @@
     return outcome;
 }
 
-json::object encode(const held_permit& held)
+permit_stamp make_stamp(const endpoint_id& engine, const permit_key& key,
+                        const message_origin& owner)
 {
-    json::object object{
-        {"holder", held.holder.str()}, {"request", held.request.str()}, {"chat", held.chat.str()}};
-    put_key(object, held.key);
-    return object;
+    return {engine, owner.id, owner.incarnation, key.view, key.sequence};
+}
+
+json::object encode(const held_report& report)
+{
+    json::array permits;
+    for (const reported_permit& permit : report.permits)
+    {
+        json::object object{{"owner", encode_origin(permit.owner)},
+                            {"holder", permit.held.holder.str()},
+                            {"request", permit.held.request.str()},
+                            {"chat", permit.held.chat.str()}};
+        put_key(object, permit.held.key);
+        permits.push_back(std::move(object));
+    }
+    json::object body{{"from", encode_origin(report.from)},
+                      {"number", report.view_number},
+                      {"held", std::move(permits)}};
+    if (report.handover)
+    {
+        body["handover"] = encode_handover(*report.handover);
+    }
+    return body;
 }
 
-held_permit decode_held(const json::object& object)
+held_report decode_held_report(const endpoint_id& engine, const json::object& object)
 {
-    return {decode_key(object), router_id(get_text(object, "holder")),
-            request_id(get_text(object, "request")), chat_id(get_text(object, "chat"))};
+    held_report report;
+    report.from = decode_origin(get_object(object, "from"));
+    report.view_number = get_unsigned(object, "number");
+    for (const json::value& value : get_array(object, "held"))
+    {
+        if (const json::object* permit = value.if_object())
+        {
+            report.permits.push_back(
+                {{decode_key(*permit), router_id(get_text(*permit, "holder")),
+                  request_id(get_text(*permit, "request")), chat_id(get_text(*permit, "chat"))},
+                 decode_origin(get_object(*permit, "owner"))});
+        }
+    }
+    if (object.contains("handover"))
+    {
+        report.handover = decode_handover(engine, get_object(object, "handover"));
+    }
+    return report;
 }
 
 json::array encode(const std::vector<engine_load>& loads)
--- a/endivestage/daemon/wire.hpp
+++ b/endivestage/daemon/wire.hpp
@@ -9,8 +9,11 @@
 #include <endivestage/core.hpp>
 #include <endivestage/daemon/peer_transport.hpp>
 #include <endivestage/ownership/messages.hpp>
+#include <endivestage/ownership/owner_rebuild.hpp>
+#include <endivestage/placement/recency_index.hpp>
 
 #include <boost/json/object.hpp>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -54,8 +57,40 @@
 boost::json::object encode(const permit_outcome& outcome);
 permit_outcome decode_outcome(const boost::json::object& object);
 
-boost::json::object encode(const held_permit& held);
-held_permit decode_held(const boost::json::object& object);
+/// \brief A permit as its holder reports it to a new owner.
+struct reported_permit
+{
+    held_permit held;
+    message_origin owner; ///< Run of the router that issued it.
+};
+
+/// \brief What a previous owner hands over besides its account of permits.
+struct engine_handover
+{
+    owner_account account;
+    std::uint64_t incarnation = 0; ///< Of the engine, as last reported.
+    bool warm = false;
+    std::vector<recency_entry> cache; ///< Most recent first; bounded by max_handover_entries.
+};
+
+/// Keeps a handover below the limit of a peer call's body (1 MiB).
+inline constexpr std::size_t max_handover_entries = 20000;
+
+/// \brief Answer to the question which permits a router holds on an engine.
+struct held_report
+{
+    message_origin from;
+    std::uint64_t view_number = 0;
+    std::vector<reported_permit> permits;
+    std::optional<engine_handover> handover; ///< Set by the previous owner.
+};
+
+boost::json::object encode(const held_report& report);
+held_report decode_held_report(const endpoint_id& engine, const boost::json::object& object);
+
+/// \returns The permit's identity over all owners.
+permit_stamp make_stamp(const endpoint_id& engine, const permit_key& key,
+                        const message_origin& owner);
 
 boost::json::array encode(const std::vector<engine_load>& loads);
 std::vector<engine_load> decode_loads(const boost::json::array& array);
