End renewals with their request and tell callers of dropped tickets

Cause: the renewal coroutine of a permit request ran on after its answer, because it held references of its own to the list that it watched; renewals of earlier tries then named later tries, whose permits were refused. Tickets that the gate dropped left their callers waiting until the call's time limit. Ruled out: exceptions in handlers (none logged). Change: the request ends its renewals explicitly; dropped and replaced tickets are answered; exceptions of peer handlers are logged.

--- a/endivestage/daemon/admission_service.cpp
+++ b/endivestage/daemon/admission_service.cpp
@@ -131,13 +131,39 @@
                {
                    for (const endpoint_id& engine : owned_engines())
                    {
-                       with_gate(engine, [](owned_engine& owned, time_point now)
-                                 { return owned.gate.tick(now); });
+                       tick_queue(engine);
                    }
                    co_return;
                });
 }
 
+// The gate drops tickets that are not renewed; their callers are told, so that they try again.
+void admission_service::tick_queue(const endpoint_id& engine)
+{
+    std::vector<answer_callback> dropped;
+    with_gate(engine,
+              [&dropped](owned_engine& owned, time_point now)
+              {
+                  std::vector<queue_decision> decided = owned.gate.tick(now);
+                  for (auto it = owned.waiting.begin(); it != owned.waiting.end();)
+                  {
+                      if (now - it->second.renewed <= permit_time_to_use + queue_tick)
+                      {
+                          ++it;
+                          continue;
+                      }
+                      owned.gate.cancel(it->second.ticket);
+                      dropped.push_back(std::move(it->second.done));
+                      it = owned.waiting.erase(it);
+                  }
+                  return decided;
+              });
+    for (const answer_callback& done : dropped)
+    {
+        done(make_error_code(errc::overloaded));
+    }
+}
+
 void admission_service::handle_calls()
 {
     node_.rpc.handle("/permit/acquire",
@@ -284,6 +310,7 @@
 void admission_service::acquire_local(const acquire_message& message, answer_callback done)
 {
     std::optional<rpc_answer> immediate;
+    answer_callback replaced;
     const auto work = [&](owned_engine& owned, time_point now) -> std::vector<queue_decision>
     {
         permit_request request = message.request;
@@ -296,8 +323,14 @@
         }
         else if (const queue_ticket* ticket = std::get_if<queue_ticket>(&answer))
         {
-            owned.waiting.insert_or_assign(waiting_key{request.holder, request.request},
-                                           waiting_caller{*ticket, done});
+            waiting_caller& caller = owned.waiting[{request.holder, request.request}];
+            if (caller.done)
+            {
+                // The holder asks again because its earlier call failed.
+                owned.gate.cancel(caller.ticket);
+                replaced = std::move(caller.done);
+            }
+            caller = waiting_caller{*ticket, done, now};
         }
         else
         {
@@ -309,6 +342,10 @@
     {
         immediate = rpc_answer(make_error_code(errc::not_owner));
     }
+    if (replaced)
+    {
+        replaced(make_error_code(errc::cancelled));
+    }
     if (immediate)
     {
         done(std::move(*immediate));
@@ -342,6 +379,10 @@
                   const auto it = owned.waiting.find(key);
                   waits = it != owned.waiting.end() &&
                           owned.gate.renew(it->second.ticket, renewal, now);
+                  if (waits)
+                  {
+                      it->second.renewed = now;
+                  }
                   return {};
               });
     return waits;
@@ -361,19 +402,17 @@
 
 // Keeps a waiting request in the owner's queue and notes when each renewal was sent, from which
 // the time to use of the permit counts.
-awaitable<void>
-admission_service::renew_while_waiting(member owner, acquire_message message,
-                                       std::shared_ptr<std::vector<time_point>> sent)
+awaitable<void> admission_service::renew_while_waiting(member owner, acquire_message message,
+                                                       std::shared_ptr<renewal_times> sent)
 {
-    while (sent.use_count() > 1)
+    for (;;)
     {
         co_await sleep_for(renew_period);
-        if (sent.use_count() == 1)
+        if (sent->finished())
         {
             co_return;
         }
-        const std::uint32_t renewal = static_cast<std::uint32_t>(sent->size());
-        sent->push_back(node_.time.now());
+        const std::uint32_t renewal = sent->add(node_.time.now());
         if (owner.id == node_.settings.id)
         {
             renew_local({node_.settings.id, message.request.request}, message.engine, renewal);
@@ -414,25 +453,30 @@
     const member who = *owner;
     request.holder = node_.settings.id;
     acquire_message message{engine, request, remaining};
-    std::shared_ptr<std::vector<time_point>> sent =
-        std::make_shared<std::vector<time_point>>(1, node_.time.now());
+    std::shared_ptr<renewal_times> sent = std::make_shared<renewal_times>();
+    sent->add(node_.time.now());
     if (request.wait_allowed)
     {
         spawn(node_.io,
               [this, who, message, sent] { return renew_while_waiting(who, message, sent); });
     }
     const rpc_answer answer = co_await ask_owner(who, std::move(message));
+    sent->finish();
     if (!answer)
     {
         co_return answer.error();
     }
     const result<granted_permit> granted = decode_granted(*answer);
-    if (!granted || granted->value.renewal >= sent->size())
+    if (!granted)
+    {
+        co_return granted.error();
+    }
+    const std::optional<time_point> asked = sent->find(granted->value.renewal);
+    if (!asked)
     {
-        co_return make_error_code(errc::internal);
+        co_return make_error_code(errc::conflict);
     }
-    holding held{std::move(engine), *granted, request.request, request.chat,
-                 (*sent)[granted->value.renewal]};
+    holding held{std::move(engine), *granted, request.request, request.chat, *asked};
     {
         const std::scoped_lock lock(mutex_);
         held_.insert_or_assign({held.engine, held.granted.value.key}, held);
--- a/endivestage/daemon/admission_service.hpp
+++ b/endivestage/daemon/admission_service.hpp
@@ -30,6 +30,45 @@
     time_point asked; ///< When the request, or the renewal that the permit names, was sent.
 };
 
+/// \brief When a permit request and its renewals were sent. Thread-safe.
+class renewal_times
+{
+public:
+    /// \returns The number of the renewal; 0 for the request itself.
+    std::uint32_t add(time_point sent)
+    {
+        const std::scoped_lock lock(mutex_);
+        times_.push_back(sent);
+        return static_cast<std::uint32_t>(times_.size() - 1);
+    }
+
+    /// \returns When a renewal was sent; nothing when it never was.
+    std::optional<time_point> find(std::uint32_t renewal) const
+    {
+        const std::scoped_lock lock(mutex_);
+        return renewal < times_.size() ? std::optional(times_[renewal]) : std::nullopt;
+    }
+
+    /// \brief The request was answered; it needs no more renewals.
+    void finish()
+    {
+        const std::scoped_lock lock(mutex_);
+        finished_ = true;
+    }
+
+    /// \returns Whether finish was called.
+    bool finished() const
+    {
+        const std::scoped_lock lock(mutex_);
+        return finished_;
+    }
+
+private:
+    mutable std::mutex mutex_;
+    std::vector<time_point> times_;
+    bool finished_ = false;
+};
+
 /// \brief Issues permits for owned engines and gets permits for requests of this router.
 class admission_service
 {
@@ -74,6 +113,7 @@
     {
         queue_ticket ticket;
         answer_callback done;
+        time_point renewed; ///< When the request or its last renewal was received.
     };
 
     struct owned_engine
@@ -113,6 +153,7 @@
     using held_key = std::pair<endpoint_id, permit_key>;
     using gate_work = std::function<std::vector<queue_decision>(owned_engine&, time_point)>;
 
+    void tick_queue(const endpoint_id& engine);
     bool with_gate(const endpoint_id& engine, const gate_work& work);
     void take_decisions(owned_engine& owned, std::vector<queue_decision> decisions,
                         pending_calls& calls) const;
@@ -121,7 +162,7 @@
     awaitable<rpc_answer> acquire_here(acquire_message message);
     awaitable<rpc_answer> ask_owner(const member& owner, acquire_message message);
     awaitable<void> renew_while_waiting(member owner, acquire_message message,
-                                        std::shared_ptr<std::vector<time_point>> sent);
+                                        std::shared_ptr<renewal_times> sent);
     bool renew_local(const waiting_key& key, const endpoint_id& engine, std::uint32_t renewal);
     void release_local(const endpoint_id& engine, permit_key key, const message_origin& owner,
                        const permit_outcome& outcome);
--- a/endivestage/daemon/peer_rpc.cpp
+++ b/endivestage/daemon/peer_rpc.cpp
@@ -1,7 +1,9 @@
 #include <endivestage/daemon/peer_rpc.hpp>
 
 #include <endivestage/daemon/json_access.hpp>
+#include <endivestage/daemon/logging.hpp>
 
+#include <exception>
 #include <utility>
 
 namespace endivestage::daemon
@@ -64,7 +66,16 @@
         co_return answer;
     }
     observe(*body);
-    rpc_answer value = co_await it->second(request.from, *body);
+    rpc_answer value = make_error_code(errc::internal);
+    try
+    {
+        value = co_await it->second(request.from, *body);
+    }
+    catch (const std::exception& failure)
+    {
+        log_event(log_level::error, "peer_call_failed",
+                  {{"path", request.path}, {"reason", failure.what()}});
+    }
     json::object reply;
     if (value)
     {
