Fix misleading answers of commands to wrong input

Cause: each subcommand was tried with wrong input on a loopback fleet of three routers. Change: each of these names its cause. Ids in settings allow the characters that the configuration allows. Before: 'request settle' with the key printed by 'request list' answered not_found. After: the printed team and key are accepted; daemon_settings_test covers the settings faults. Conclusion: an operator can act on each of these messages.

--- a/endivestage/daemon/command_line.cpp
+++ b/endivestage/daemon/command_line.cpp
@@ -106,7 +106,8 @@
         *request, "list", "List requests", code,
         [&values] { return run_request_list(values.remote, values.team, values.state); });
     list->add_option("--team", values.team, "Only this team");
-    list->add_option("--state", values.state, "reserved, sending, done, unknown or not_run");
+    list->add_option("--state", values.state, "reserved, sending, done, unknown or not_run")
+        ->check(CLI::IsMember({"reserved", "sending", "done", "unknown", "not_run"}));
     add_remote(*list, values);
     CLI::App* show =
         add_command(*request, "show", "Print what became of a request", code,
@@ -187,7 +188,13 @@
     }
     catch (const CLI::ParseError& error)
     {
-        return app.exit(error) == 0 ? exit_success : exit_usage;
+        const int status = app.exit(error);
+        // A mistyped command is otherwise reported only as a missing one.
+        for (const std::string& argument : app.remaining(true))
+        {
+            std::cerr << "Not understood: " << argument << "\n";
+        }
+        return status == 0 ? exit_success : exit_usage;
     }
     return code;
 }
--- a/endivestage/daemon/commands.cpp
+++ b/endivestage/daemon/commands.cpp
@@ -1,6 +1,7 @@
 #include <endivestage/daemon/commands.hpp>
 
 #include <endivestage/configuration.hpp>
+#include <endivestage/daemon/http_types.hpp>
 #include <endivestage/daemon/json_access.hpp>
 #include <endivestage/daemon/logging.hpp>
 #include <endivestage/daemon/remote.hpp>
@@ -87,8 +88,9 @@
         }
         else
         {
-            std::cerr << fault.file << ": " << fault.path << ": " << to_string(fault.kind) << ": "
-                      << fault.reason << "\n";
+            // A fault of a whole file has no key.
+            std::cerr << fault.file << ": " << (fault.path.empty() ? "" : fault.path + ": ")
+                      << to_string(fault.kind) << ": " << fault.reason << "\n";
         }
     }
 }
@@ -199,12 +201,25 @@
     }
 }
 
+/// Prints team and key of a row "request/TEAM/KEY" in the form that show and settle take.
+void print_row_key(const std::string& row)
+{
+    http_target target;
+    if (!parse_target("/" + row, target) || target.segments.size() != 3)
+    {
+        std::cout << "row=" << row;
+        return;
+    }
+    std::cout << "team=" << target.segments[1] << " key=" << target.segments[2];
+}
+
 void print_requests(const json::object& body)
 {
     for (const json::value& value : get_array(body, "requests"))
     {
         const json::object& entry = value.as_object();
-        std::cout << "key=" << get_text(entry, "key") << " state=" << get_text(entry, "state")
+        print_row_key(get_text(entry, "key"));
+        std::cout << " state=" << get_text(entry, "state")
                   << " router=" << get_text(entry, "router")
                   << " status=" << get_unsigned(entry, "status") << "\n";
     }
--- a/endivestage/daemon/remote.cpp
+++ b/endivestage/daemon/remote.cpp
@@ -38,6 +38,13 @@
     return value != nullptr ? value : "";
 }
 
+std::string missing_token_reason(const remote_options& remote)
+{
+    return remote.token_file.empty()
+               ? "no operator token: give --token-file or ENDIVESTAGE_TOKEN"
+               : "no operator token in the first line of " + remote.token_file;
+}
+
 } // namespace
 
 std::string encode_component(std::string_view text)
@@ -53,8 +60,7 @@
     if (!parse_network_address(remote.router, address) || token.empty())
     {
         std::cerr << "error=invalid_settings reason=\""
-                  << (token.empty() ? "no operator token: give --token-file or ENDIVESTAGE_TOKEN"
-                                    : "--router must be IP:PORT")
+                  << (token.empty() ? missing_token_reason(remote) : "--router must be IP:PORT")
                   << "\"\n";
         return make_error_code(errc::invalid_settings);
     }
@@ -92,8 +98,12 @@
     const json::object& error = get_object(body ? *body : none, "error");
     const std::string code = get_text(error, "code");
     std::cerr << "error=" << (code.empty() ? "internal" : code)
-              << " execution=" << get_text(error, "execution") << " reason=\""
-              << get_text(error, "reason") << "\"\n";
+              << " execution=" << get_text(error, "execution");
+    if (const std::string reason = get_text(error, "reason"); !reason.empty())
+    {
+        std::cerr << " reason=\"" << reason << "\"";
+    }
+    std::cerr << "\n";
     for (const json::value& fault : get_array(body ? *body : none, "faults"))
     {
         const json::object& entry = fault.as_object();
--- a/endivestage/daemon/settings.cpp
+++ b/endivestage/daemon/settings.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/json.hpp>
 #include <cassert>
+#include <filesystem>
 #include <fstream>
 #include <limits>
 #include <set>
@@ -78,10 +79,29 @@
                                 : checked_text(*value, key(name), 1, max_name_bytes);
     }
 
+    /// \brief Reads an id. The configuration allows the same characters, so ids can be compared.
+    std::string id(std::string_view name)
+    {
+        constexpr std::string_view allowed =
+            "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-";
+        std::string found = text(name, true);
+        if (found.find_first_not_of(allowed) != std::string::npos)
+        {
+            report(key(name), settings_fault_kind::out_of_range,
+                   "must have only letters, digits, '_' and '-'");
+        }
+        return found;
+    }
+
     std::string ip_address(std::string_view name, bool required, std::string standard = {})
     {
+        if (find(name, required) == nullptr)
+        {
+            // A faulty default was reported under its own key.
+            return standard;
+        }
         const std::size_t before = faults_->size();
-        std::string host = text(name, required, std::move(standard));
+        std::string host = text(name, required);
         boost::system::error_code ec;
         boost::asio::ip::make_address(host, ec);
         if (ec && !host.empty() && faults_->size() == before)
@@ -298,9 +318,9 @@
     }
     object_reader members(&document.get_object(), "", file, faults);
     router_settings found;
-    found.id = router_id(members.text("id", true));
-    found.region = region_id(members.text("region", true));
-    found.zone = zone_id(members.text("zone", true));
+    found.id = router_id(members.id("id"));
+    found.region = region_id(members.id("region"));
+    found.zone = zone_id(members.id("zone"));
     found.listen = members.address("listen");
     found.advertised_host = members.ip_address("advertised_host", false, found.listen.host);
     found.peer_port = members.port("peer_port");
@@ -333,6 +353,13 @@
 {
     std::ifstream stream(path, std::ios::binary);
     std::ostringstream text;
+    std::error_code ec;
+    if (std::filesystem::is_directory(path, ec))
+    {
+        // A stream opens a folder without an error and reads nothing from it.
+        return settings_outcome(std::vector<settings_fault>{
+            {path, "", settings_fault_kind::unreadable_file, "is a folder"}});
+    }
     if (stream)
     {
         text << stream.rdbuf();
--- a/tests/daemon_settings_test.cpp
+++ b/tests/daemon_settings_test.cpp
@@ -75,6 +75,11 @@
         {"probe_period_ms", "probe_period", "timing.probe_period", kind::unknown_key},
         {"\"r1\"", "1", "id", kind::wrong_type},
         {"\"r1\"", "\"\"", "id", kind::out_of_range},
+        {"\"r1\"", "\"r 1/x\"", "id", kind::out_of_range},
+        {"\"z1\"", "\"z.1\"", "zone", kind::out_of_range},
+        {"\"baltic\"", "\"bal tic\"", "region", kind::out_of_range},
+        {"\"127.0.0.1\", \"port\": 8080", "\"router.local\", \"port\": 8080", "listen.host",
+         kind::not_an_ip_address},
         {"8080", "\"8080\"", "listen.port", kind::wrong_type},
         {"8080", "80.5", "listen.port", kind::wrong_type},
         {"8080", "65536", "listen.port", kind::out_of_range},
@@ -110,6 +115,7 @@
     CHECK(parse_settings("[]", "f").faults().size() == 1);
     CHECK(load_settings("no-such-file.json").faults()[0].what ==
           settings_fault_kind::unreadable_file);
+    CHECK(load_settings(".").faults()[0].what == settings_fault_kind::unreadable_file);
 }
 
 // Guards against crashes on damaged files.
