Let a starting replica adopt although a source stays silent

Cause: configuration_replica::tick gave up on silent sources and then asked all sources again in the same step. Every source counted as unanswered again, so that a fetched body was never adopted as long as one source did not answer.

Change: sources are asked again only while no version is known.

--- a/endivestage/configuration/replica.cpp
+++ b/endivestage/configuration/replica.cpp
@@ -108,7 +108,8 @@
     if (starting() && state() != replica_state::fetching && now - asked_at_ >= retry_)
     {
         give_up_on_silent(now);
-        if (!any(answer::none))
+        // Asking again would undo the give-up that lets a known version come into force.
+        if (!any(answer::none) && state() != replica_state::fetching)
         {
             ask(actions, now);
         }
