Count permits on their way and time load reports from their question

Cause 1: engine_gate::reconcile removed permits issued just before the question. Such a permit may still be on its way to the holder, who then uses it while its place is granted again. Cause 2: engine_gate::report used the time of receipt. After a pause of the owner a report that had waited ended the rebuild, although it showed the engine before the old permits expired; and it was compared with permits of a wrong interval.

Change: reconcile keeps permits younger than the time to use. A report carries the time of its question, and its load is ignored when the answer took longer than the report lag.

--- a/endivestage/admission/engine_gate.hpp
+++ b/endivestage/admission/engine_gate.hpp
@@ -86,7 +86,9 @@
     std::vector<queue_decision> holder_died(const router_id& holder, time_point now);
 
     /// \brief The holder told which permits it holds; others of it are gone (lost release or
-    /// answer). \param asked When it was asked; permits issued later are kept.
+    /// answer).
+    /// \param asked When it was asked. Permits issued later, or less than the time to use before,
+    /// are kept: they may still be on their way to the holder.
     std::vector<queue_decision> reconcile(const router_id& holder, std::span<const permit_key> held,
                                           time_point asked, time_point now);
 
@@ -94,7 +96,18 @@
     std::vector<router_id> holders_to_ask(millis age, time_point now) const;
 
     /// \brief Takes over a load report.
-    std::vector<queue_decision> report(const engine_report& report, time_point received);
+    ///
+    /// The load of a report whose answer took longer than the report lag is ignored: the process
+    /// may have been paused while the report waited.
+    /// \param asked When the report was asked for.
+    std::vector<queue_decision> report(const engine_report& report, time_point asked,
+                                       time_point now);
+
+    /// \brief Takes over a load report that was asked for and received at \p now.
+    std::vector<queue_decision> report(const engine_report& value, time_point now)
+    {
+        return report(value, now, now);
+    }
 
     /// \brief Takes over a pool mean.
     /// \param taken When the digest that it answers was sent.
--- a/endivestage/admission/engine_gate_events.cpp
+++ b/endivestage/admission/engine_gate_events.cpp
@@ -29,7 +29,7 @@
                                            {
                                                const issued_permit& issued = item.second;
                                                return issued.held.holder == holder &&
-                                                      issued.issued < asked &&
+                                                      asked - issued.issued >= permit_time_to_use &&
                                                       !kept.contains(item.first);
                                            });
     for (std::size_t n = 0; n < lost; ++n)
@@ -52,17 +52,21 @@
     return {holders.begin(), holders.end()};
 }
 
-std::vector<queue_decision> engine_gate::report(const engine_report& report, time_point received)
+std::vector<queue_decision> engine_gate::report(const engine_report& report, time_point asked,
+                                                time_point now)
 {
-    bound_.expire(load(), policy_.capacity, received);
+    bound_.expire(load(), policy_.capacity, now);
     note_incarnation(report);
-    account_.report(report.running + report.waiting, received);
-    // By then each permit of the old owner has expired or is part of the reported load (R6).
-    if (received - took_over_ >= permit_time_to_use + policy_.report_lag)
+    if (now - asked <= policy_.report_lag)
     {
-        rebuilding_ = false;
+        account_.report(report.running + report.waiting, asked);
+        // By then each permit of the old owner has expired or is part of the reported load (R6).
+        if (asked - took_over_ >= permit_time_to_use + policy_.report_lag)
+        {
+            rebuilding_ = false;
+        }
     }
-    return drain(received);
+    return drain(now);
 }
 
 void engine_gate::note_incarnation(const engine_report& report)
--- a/endivestage/admission/internal/load_account.cpp
+++ b/endivestage/admission/internal/load_account.cpp
@@ -39,12 +39,12 @@
     orphans_.push_back({now, permits});
 }
 
-void load_account::report(std::uint32_t requests, time_point received)
+void load_account::report(std::uint32_t requests, time_point asked)
 {
-    retire_orphans(received);
+    retire_orphans(asked);
     has_report_ = true;
     reported_ = requests;
-    explained_ = peak(received - lag_);
+    explained_ = peak(asked - lag_);
 }
 
 void load_account::change(std::uint32_t count, time_point now)
@@ -54,26 +54,27 @@
         past_.pop_back();
     }
     past_.push_back({now, count_});
-    while (past_.front().end < now - lag_)
+    // A report may be used until one lag after it was asked for.
+    while (past_.front().end < now - lag_ * 2)
     {
         past_.pop_front();
     }
     count_ = count;
 }
 
-void load_account::retire_orphans(time_point received)
+void load_account::retire_orphans(time_point asked)
 {
     std::uint32_t retired = 0;
     std::erase_if(orphans_,
                   [&](const orphans& dead)
                   {
-                      const bool shown = received - lag_ >= dead.since;
+                      const bool shown = asked - lag_ >= dead.since;
                       retired += shown ? dead.count : 0;
                       return shown;
                   });
     count_ -= retired;
     // Counts in force since the death include the orphans; older ones are outside of the lag.
-    std::erase_if(past_, [&](const segment& old) { return old.end < received - lag_; });
+    std::erase_if(past_, [&](const segment& old) { return old.end < asked - lag_; });
     for (segment& old : past_)
     {
         old.count -= std::min(old.count, retired);
--- a/endivestage/admission/internal/load_account.hpp
+++ b/endivestage/admission/internal/load_account.hpp
@@ -13,7 +13,8 @@
 
 /// \brief Counts permits and the reported load that no permit explains.
 ///
-/// A report received at r shows the engine at an unknown instant of [r - lag, r]. The permits that
+/// A report asked for at r shows the engine at an instant of [r - lag, r + lag]; an answer that
+/// takes longer is not used. The permits that
 /// were outstanding at that instant explain at most the largest permit count of this interval, so
 /// only what a report shows above this largest count is unexplained. Requests that began or ended
 /// within the lag are therefore never counted twice.
@@ -45,7 +46,8 @@
 
     /// \brief Takes over a report.
     /// \param requests Running and waiting requests on the engine.
-    void report(std::uint32_t requests, time_point received);
+    /// \param asked When the report was asked for.
+    void report(std::uint32_t requests, time_point asked);
 
 private:
     struct segment
@@ -60,7 +62,7 @@
     };
 
     void change(std::uint32_t count, time_point now);
-    void retire_orphans(time_point received);
+    void retire_orphans(time_point asked);
     std::uint32_t peak(time_point from);
 
     millis lag_;
--- a/endivestage/daemon/admission_service.cpp
+++ b/endivestage/daemon/admission_service.cpp
@@ -602,6 +602,7 @@
 {
     http_request request;
     request.target = "/v1/load";
+    const time_point asked = node_.time.now();
     const result<http_response> response =
         co_await http_call(address, std::move(request), report_timeout);
     const bool usable = response && response->status == 200;
@@ -610,10 +611,10 @@
         usable ? parse_json_object(response->body)
                : result<json::object>(make_error_code(errc::endpoint_unavailable));
     with_gate(engine,
-              [&body](owned_engine& owned, time_point now) -> std::vector<queue_decision>
+              [&body, asked](owned_engine& owned, time_point now) -> std::vector<queue_decision>
               {
                   owned.polling = false;
-                  return body ? owned.gate.report(decode_report(*body), now)
+                  return body ? owned.gate.report(decode_report(*body), asked, now)
                               : std::vector<queue_decision>{};
               });
 }
