Count load of former owners until a report shows its end

Cause: after a rebuild that a load report ended (R6), because some holder did not answer, the load of its permits was known from the report only. The next report was explained by the largest number of the owner's own permits in the report's lag. Own permits too young to be shown explained the load of the former owner, and their places were granted twice.

Change: the load account keeps the load that the completing report shows and the owner's old permits do not explain. Later reports and late answers of holders only lower it.

--- a/endivestage/admission/engine_gate_events.cpp
+++ b/endivestage/admission/engine_gate_events.cpp
@@ -59,12 +59,15 @@
     note_incarnation(report);
     if (now - asked <= policy_.report_lag)
     {
-        account_.report(report.running + report.waiting, asked);
         // By then each permit of the old owner has expired or is part of the reported load (R6).
-        if (asked - took_over_ >= permit_time_to_use + policy_.report_lag)
-        {
-            rebuilding_ = false;
-        }
+        const millis shown = permit_time_to_use + policy_.report_lag;
+        const bool complete = asked - took_over_ >= shown;
+        const auto certain =
+            std::count_if(permits_.begin(), permits_.end(),
+                          [&](const auto& item) { return asked - item.second.issued >= shown; });
+        account_.report(report.running + report.waiting, asked,
+                        static_cast<std::uint32_t>(certain), complete && rebuilding_);
+        rebuilding_ = rebuilding_ && !complete;
     }
     return drain(now);
 }
--- a/endivestage/admission/internal/load_account.cpp
+++ b/endivestage/admission/internal/load_account.cpp
@@ -8,7 +8,7 @@
 
 std::uint32_t load_account::unexplained() const
 {
-    return reported_ > explained_ ? reported_ - explained_ : 0;
+    return std::max(reported_ > explained_ ? reported_ - explained_ : 0, foreign_);
 }
 
 void load_account::add(time_point now)
@@ -26,6 +26,8 @@
 {
     // They existed before the last report, which therefore shows them already.
     explained_ += permits;
+    foreign_ -= std::min(foreign_, permits);
+    most_foreign_ -= std::min(most_foreign_, permits);
     change(count_ + permits, now);
 }
 
@@ -39,12 +41,16 @@
     orphans_.push_back({now, permits});
 }
 
-void load_account::report(std::uint32_t requests, time_point asked)
+void load_account::report(std::uint32_t requests, time_point asked, std::uint32_t certain,
+                          bool foreign)
 {
     retire_orphans(asked);
     has_report_ = true;
     reported_ = requests;
     explained_ = peak(asked - lag_);
+    const std::uint32_t other = requests - std::min(requests, certain);
+    most_foreign_ = foreign ? other : std::min(most_foreign_, other);
+    foreign_ = most_foreign_;
 }
 
 void load_account::change(std::uint32_t count, time_point now)
--- a/endivestage/admission/internal/load_account.hpp
+++ b/endivestage/admission/internal/load_account.hpp
@@ -47,7 +47,9 @@
     /// \brief Takes over a report.
     /// \param requests Running and waiting requests on the engine.
     /// \param asked When the report was asked for.
-    void report(std::uint32_t requests, time_point asked);
+    /// \param certain Outstanding permits that the report certainly shows if they run.
+    /// \param foreign Whether the report is the first one that shows all permits of former owners.
+    void report(std::uint32_t requests, time_point asked, std::uint32_t certain, bool foreign);
 
 private:
     struct segment
@@ -72,6 +74,9 @@
     std::uint32_t reported_ = 0;
     std::uint32_t explained_ = 0;
     bool has_report_ = false;
+    // Load of former owners' permits. It only falls, and own young permits must not hide it.
+    std::uint32_t foreign_ = 0;
+    std::uint32_t most_foreign_ = 0;
 };
 
 } // namespace endivestage::internal
