--- a/endivestage/daemon/admission_service.cpp
+++ b/endivestage/daemon/admission_service.cpp
@@ -766,7 +766,7 @@
                       }
                   }
                   owned.rebuild.on_report(report.running + report.waiting, asked, visible);
-                  return owned.gate.report(report, now);
+                  return owned.gate.report(report, asked, now);
               });
 }
 
