--- a/bench/measure.cpp
+++ b/bench/measure.cpp
@@ -6,8 +6,10 @@
 #include <cstdlib>
 #include <cstring>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace simulation;
@@ -30,13 +32,13 @@
     window_record disturbed;
 };
 
-std::vector<scenario> all_scenarios()
+std::vector<scenario> all_scenarios(const fleet_options& base)
 {
-    fleet_options today;
-    fleet_options twelve;
+    fleet_options today = base;
+    fleet_options twelve = base;
     twelve.engines = 12;
     twelve.routers = 9;
-    fleet_options target;
+    fleet_options target = base;
     target.engines = 60;
     target.routers = 40;
     target.zones = 7;
@@ -211,6 +213,18 @@
              [&](run_result& it) { return ratio(requests(it), best_requests); });
     out.line("reuse_tokens." + phase, "share of oracle", 0.97, runs,
              [&](run_result& it) { return ratio(tokens(it), best_tokens); });
+    using loss = double window_record::*;
+    const std::array<std::pair<const char*, loss>, 4> causes{
+        {{"lost_at_limit.", &window_record::lost_at_limit},
+         {"lost_not_asked.", &window_record::lost_not_asked},
+         {"lost_evicted.", &window_record::lost_evicted},
+         {"lost_gone.", &window_record::lost_gone}}};
+    for (const auto& [name, tokens_lost] : causes)
+    {
+        out.line(name + phase, "share of history tokens", std::nullopt, runs,
+                 [&](run_result& it)
+                 { return ratio((it.*window).*tokens_lost, (it.*window).history_tokens); });
+    }
 }
 
 void print_bound(const printer& out, comparison& runs, const std::string& phase,
@@ -314,10 +328,43 @@
 
 } // namespace
 
+namespace
+{
+
+// Varies a parameter of the policies for a trial; the text is name=value.
+bool set_parameter(fleet_options& options, const std::string& text)
+{
+    const std::size_t at = text.find('=');
+    if (at == std::string::npos)
+    {
+        return false;
+    }
+    const std::string name = text.substr(0, at);
+    const double value = std::strtod(text.c_str() + at + 1, nullptr);
+    const auto whole = static_cast<std::uint32_t>(value);
+    const std::map<std::string, std::function<void()>> parameters{
+        {"fall_margin", [&] { options.gate.bound.fall_margin = value; }},
+        {"least_multiple", [&] { options.gate.bound.least_multiple = value; }},
+        {"open_multiple", [&] { options.gate.open_multiple = value; }},
+        {"kept_history", [&] { options.gate.kept_history = whole; }},
+        {"first_asked", [&] { options.placement.first_asked = whole; }},
+    };
+    const auto found = parameters.find(name);
+    if (found == parameters.end())
+    {
+        return false;
+    }
+    found->second();
+    return true;
+}
+
+} // namespace
+
 int main(int argc, char** argv)
 {
     std::uint64_t seed = 1;
     std::string only;
+    fleet_options base;
     for (int n = 1; n + 1 < argc; n += 2)
     {
         if (std::strcmp(argv[n], "--seed") == 0)
@@ -328,8 +375,13 @@
         {
             only = argv[n + 1];
         }
+        else if (std::strcmp(argv[n], "--set") == 0 && !set_parameter(base, argv[n + 1]))
+        {
+            std::fprintf(stderr, "unknown parameter: %s\n", argv[n + 1]);
+            return 2;
+        }
     }
-    for (const scenario& it : all_scenarios())
+    for (const scenario& it : all_scenarios(base))
     {
         if (only.empty() || only == it.name)
         {
--- a/bench/simulation/fleet.hpp
+++ b/bench/simulation/fleet.hpp
@@ -89,6 +89,7 @@
         int number = 0;
         int turns_left = 0;
         bool done = false;
+        std::vector<std::size_t> asked; // Engines whose owners were asked.
         std::optional<endivestage::placement_attempt> attempt;
         std::vector<std::pair<std::size_t, std::uint64_t>> tickets; // Engine and ticket.
     };
@@ -107,6 +108,7 @@
     void start(const pending_ptr& request, const placed& at);
     void finish(const pending_ptr& request, const placed& at, double first_token,
                 std::uint64_t incarnation);
+    void record_loss(const pending& request, std::size_t engine, std::uint32_t cached);
     void refuse(const pending_ptr& request);
     void next_turn_later(chat* of, int turns_left);
     void decide(std::size_t engine, const std::vector<endivestage::queue_decision>& decisions);
--- a/bench/simulation/fleet_impl.hpp
+++ b/bench/simulation/fleet_impl.hpp
@@ -4,6 +4,8 @@
 
 #include "fleet.hpp"
 
+#include <algorithm>
+
 namespace simulation
 {
 
@@ -121,6 +123,7 @@
     std::vector<es::placement_answer> answers;
     std::vector<placed> permits;
     const es::permit_request asked = request_of(*request, false);
+    request->asked.insert(request->asked.end(), engines.begin(), engines.end());
     for (std::size_t n = 0; n < engines.size(); ++n)
     {
         const es::permit_answer answer = gates_[engines[n]]->acquire(asked, loop_.time());
@@ -359,6 +362,7 @@
         record_->resumed_cached += cached * 2 >= of.of->history ? 1 : 0;
         record_->history_tokens += of.of->history;
         record_->cached_tokens += cached;
+        record_loss(*request, at.engine, cached);
     }
     const std::uint64_t incarnation = engine.incarnation();
     loop_.after(static_cast<micros>((first_token + of.decode_ms) * one_ms),
@@ -366,12 +370,36 @@
                 { finish(request, at, first_token, incarnation); });
 }
 
+inline void fleet::record_loss(const pending& request, std::size_t engine, std::uint32_t cached)
+{
+    const chat& of = *request.request.of;
+    std::size_t best = engine;
+    for (std::size_t n = 0; n < engines_.size(); ++n)
+    {
+        const std::uint32_t there = engines_[n].cached(of.key, of.history);
+        best = there > engines_[best].cached(of.key, of.history) ? n : best;
+    }
+    const std::uint32_t most = engines_[best].cached(of.key, of.history);
+    const bool restarted =
+        engines_[of.last_engine].incarnation() != of.last_incarnation;
+    (restarted ? record_->lost_gone : record_->lost_evicted) += of.history - most;
+    if (!in_service_[best])
+    {
+        record_->lost_gone += most - cached;
+        return;
+    }
+    const bool asked = std::ranges::find(request.asked, best) != request.asked.end();
+    (asked ? record_->lost_at_limit : record_->lost_not_asked) += most - cached;
+}
+
 inline void fleet::finish(const pending_ptr& request, const placed& at, double first_token,
                           std::uint64_t incarnation)
 {
     chat* of = request->request.of;
     of->history += request->request.prompt + request->request.answer;
     engines_[at.engine].finish(of->key, of->history, incarnation);
+    of->last_engine = at.engine;
+    of->last_incarnation = incarnation;
     if (at.key)
     {
         release(at.engine, *at.key,
--- a/bench/simulation/workload.hpp
+++ b/bench/simulation/workload.hpp
@@ -22,6 +22,8 @@
     endivestage::team_id team;
     bool large_team = false;
     std::uint32_t history = 0;
+    std::size_t last_engine = 0; ///< Engine that served the last turn; set when history > 0.
+    std::uint64_t last_incarnation = 0;
 };
 
 /// \brief One turn of a chat.
