Ask small pools as a whole and check the bound there

Change: in a pool of up to 12 usable engines, the rest is asked when no offer of the first three has the chat cached. Answers tell the engine's load also with a refusal. With all loads known, placement_attempt checks the bound against them, and owners admit such requests without the margin (checks_bound). bounded_limit moves to placement for this.

--- a/bench/measure.cpp
+++ b/bench/measure.cpp
@@ -213,6 +213,15 @@
              [&](run_result& it) { return ratio(requests(it), best_requests); });
     out.line("reuse_tokens." + phase, "share of oracle", 0.97, runs,
              [&](run_result& it) { return ratio(tokens(it), best_tokens); });
+    out.line("reuse_local." + phase, "share of oracle, without imports", std::nullopt, runs,
+             [&](run_result& it)
+             {
+                 const window_record& from = it.*window;
+                 return ratio(ratio(from.cached_tokens - from.imported_tokens, from.history_tokens),
+                              best_tokens);
+             });
+    out.line("imported." + phase, "share of starts", std::nullopt, runs, [&](run_result& it)
+             { return ratio((it.*window).imports, (it.*window).started); });
     using loss = double window_record::*;
     const std::array<std::pair<const char*, loss>, 4> causes{
         {{"lost_at_limit.", &window_record::lost_at_limit},
@@ -253,6 +262,17 @@
              [&](run_result& it) { return (it.*window).turned_cold; });
 }
 
+// Placement messages of an average router; each call and its answer is counted at both ends.
+double control_bytes(const fleet_options& options, const window_record& window)
+{
+    constexpr double permit_bytes = 150 + 150;
+    constexpr double release_bytes = 100;
+    const double releases = window.started + window.unused_permits;
+    const double bytes = window.permit_calls * permit_bytes + releases * release_bytes;
+    const double seconds = static_cast<double>(warm_up) / static_cast<double>(one_s);
+    return 2 * bytes / seconds / static_cast<double>(options.routers);
+}
+
 void print_waits(const printer& out, comparison& runs)
 {
     struct percentile
@@ -319,6 +339,8 @@
     print_bound(out, zone, "quiet", &run_result::quiet, in.instants_target);
     print_bound(out, zone, "zone", &run_result::disturbed, in.instants_target);
     print_waits(out, zone);
+    out.line("control_bytes.quiet", "placement bytes/s a router, both directions", 4096.0,
+             control_bytes(in.options, zone.own.quiet), "");
     run_result own = run_surge(in.options, seed);
     fleet_options one_team = in.options;
     one_team.one_team = true;
@@ -347,6 +369,9 @@
         {"least_multiple", [&] { options.gate.bound.least_multiple = value; }},
         {"open_multiple", [&] { options.gate.open_multiple = value; }},
         {"kept_history", [&] { options.gate.kept_history = whole; }},
+        {"check_present", [&] { options.check_present = value > 0; }},
+        {"min_import_tokens", [&] { options.placement.min_import_tokens = whole; }},
+        {"whole_pool", [&] { options.placement.whole_pool = whole; }},
         {"first_asked", [&] { options.placement.first_asked = whole; }},
     };
     const auto found = parameters.find(name);
--- a/bench/simulation/engine_model.hpp
+++ b/bench/simulation/engine_model.hpp
@@ -48,6 +48,9 @@
         }
     }
 
+    /// \brief Takes over a prefix from another engine.
+    void import(std::uint64_t key, std::uint32_t tokens) { cache_.put(key, tokens); }
+
     /// \brief Starts over with an empty cache and a cold phase.
     void restart()
     {
--- a/bench/simulation/fleet.hpp
+++ b/bench/simulation/fleet.hpp
@@ -43,6 +43,7 @@
     std::size_t routers = 8;
     double load = 5; ///< Running requests per engine aimed at.
     std::uint32_t most_requests = 0;
+    bool check_present = true; ///< Small pools check offers against present loads.
     bool one_team = false; ///< Baseline of the team queue: first come, first served.
     routing kind = routing::endivestage;
     endivestage::gate_policy gate;
@@ -81,6 +82,7 @@
         std::size_t engine = 0;
         std::optional<endivestage::permit_key> key;
         std::size_t router = 0;
+        std::optional<std::size_t> import_from;
     };
     struct pending
     {
@@ -89,6 +91,7 @@
         int number = 0;
         int turns_left = 0;
         bool done = false;
+        std::vector<placed> permits;    // Held until the attempt has decided.
         std::vector<std::size_t> asked; // Engines whose owners were asked.
         std::optional<endivestage::placement_attempt> attempt;
         std::vector<std::pair<std::size_t, std::uint64_t>> tickets; // Engine and ticket.
@@ -116,6 +119,8 @@
     void release(std::size_t engine, endivestage::permit_key key,
                  const endivestage::permit_outcome& outcome);
     endivestage::permit_request request_of(const pending& request, bool wait) const;
+    void settle_offers(const pending_ptr& request, const endivestage::placement_step& step);
+    std::uint32_t import_prefix(const chat& of, const placed& at);
     void make_gate(std::size_t engine, bool handover);
     std::size_t owner_of(std::size_t engine) const;
     void set_service(std::size_t engine, endivestage::engine_service service);
--- a/bench/simulation/fleet_impl.hpp
+++ b/bench/simulation/fleet_impl.hpp
@@ -14,6 +14,10 @@
 inline constexpr micros hop = one_ms / 2;
 inline constexpr es::time_point never{1LL << 50};
 inline constexpr double mean_history_tokens = 3000;
+// Assumed cost of moving a cached prefix between engines: four times the speed of prefill. At
+// 160 KB of cache a token, this is 6.4 GB/s, half of a 100 Gbit/s link.
+inline constexpr double import_setup_ms = 20;
+inline constexpr double import_tokens_per_ms = 40;
 
 inline fleet::fleet(const fleet_options& options, std::uint64_t seed)
     : options_(options),
@@ -83,9 +87,13 @@
         return;
     }
     const es::placement_policy& policy = options_.placement;
-    const std::size_t most = policy.first_asked + policy.fallback_asked * (policy.rounds - 1);
+    const std::size_t most =
+        std::max(policy.whole_pool,
+                 policy.first_asked + policy.fallback_asked * (policy.rounds - 1));
     const chat& of = *request->request.of;
-    request->attempt.emplace(ranking_.candidates(of.key, most), policy);
+    request->attempt.emplace(ranking_.candidates(of.key, most), policy,
+                             es::placement_context{ranking_.usable(), of.history});
+    request->permits.clear();
     follow(request, request->attempt->start());
 }
 
@@ -115,46 +123,48 @@
     result.history_tokens = of.history;
     result.deadline = {request.request.arrived / one_ms + 30000};
     result.wait_allowed = wait;
+    result.checks_bound = !wait && options_.check_present && request.attempt->checks_bound();
     return result;
 }
 
 inline void fleet::ask(const pending_ptr& request, const std::vector<std::size_t>& engines)
 {
     std::vector<es::placement_answer> answers;
-    std::vector<placed> permits;
     const es::permit_request asked = request_of(*request, false);
+    record_->permit_calls += static_cast<double>(engines.size());
     request->asked.insert(request->asked.end(), engines.begin(), engines.end());
     for (std::size_t n = 0; n < engines.size(); ++n)
     {
+        const std::optional<es::engine_state> state = gates_[engines[n]]->state(asked.chat);
         const es::permit_answer answer = gates_[engines[n]]->acquire(asked, loop_.time());
-        answers.push_back({engines[n], {}});
+        answers.push_back({engines[n], {}, options_.check_present ? state : std::nullopt});
         if (const auto* it = std::get_if<es::permit>(&answer))
         {
             answers.back().offer = {n, it->load, it->limit, 1.0, it->cached_tokens};
-            permits.push_back({engines[n], it->key, request->router});
+            request->permits.push_back({engines[n], it->key, request->router, {}});
         }
     }
-    loop_.after(hop,
-                [this, request, answers, permits]
-                {
-                    const es::placement_step step = request->attempt->answered(answers);
-                    if (step.what != es::placement_step::kind::use)
-                    {
-                        follow(request, step);
-                        return;
-                    }
-                    for (const placed& it : permits)
-                    {
-                        if (it.engine == step.engines.front())
-                        {
-                            send(request, it);
-                        }
-                        else
-                        {
-                            release(it.engine, *it.key, {});
-                        }
-                    }
-                });
+    loop_.after(hop, [this, request, answers]
+                { settle_offers(request, request->attempt->answered(answers)); });
+}
+
+inline void fleet::settle_offers(const pending_ptr& request, const es::placement_step& step)
+{
+    for (const std::size_t engine : step.release)
+    {
+        const auto held = std::ranges::find(request->permits, engine, &placed::engine);
+        record_->unused_permits += 1;
+        release(engine, *held->key, {});
+        request->permits.erase(held);
+    }
+    if (step.what != es::placement_step::kind::use)
+    {
+        follow(request, step);
+        return;
+    }
+    placed at = request->permits.front();
+    at.import_from = step.import_from;
+    send(request, at);
 }
 
 inline void fleet::wait(const pending_ptr& request, const std::vector<std::size_t>& engines)
@@ -169,7 +179,7 @@
             if (!request->done)
             {
                 request->done = true;
-                const placed at{engine, granted->key, request->router};
+                const placed at{engine, granted->key, request->router, {}};
                 loop_.after(hop, [this, request, at] { send(request, at); });
             }
             else
@@ -220,7 +230,7 @@
     std::erase(request->tickets, std::pair(engine, decision.ticket.number));
     if (const auto* granted = std::get_if<es::permit>(&decision.answer))
     {
-        const placed at{engine, granted->key, request->router};
+        const placed at{engine, granted->key, request->router, {}};
         if (request->done)
         {
             loop_.after(2 * hop, [this, at] { release(at.engine, *at.key, {}); });
@@ -266,7 +276,7 @@
 
 inline void fleet::place_by_baseline(const pending_ptr& request)
 {
-    const placed at{baseline_engine(*request), {}, request->router};
+    const placed at{baseline_engine(*request), {}, request->router, {}};
     ++local_counts_[request->router][at.engine];
     send(request, at);
 }
@@ -349,8 +359,12 @@
 {
     const turn& of = request->request;
     engine_model& engine = engines_[at.engine];
+    const std::uint32_t imported = import_prefix(*of.of, at);
     const std::uint32_t cached = engine.cached(of.of->key, of.of->history);
-    const double first_token = engine.start(of.of->key, of.of->history, of.prompt);
+    const double import_ms = imported > 0 ? import_setup_ms + imported / import_tokens_per_ms : 0;
+    const double first_token = import_ms + engine.start(of.of->key, of.of->history, of.prompt);
+    record_->imported_tokens += imported;
+    record_->imports += imported > 0 ? 1 : 0;
     const double waited = static_cast<double>(loop_.now() - of.arrived) / one_ms;
     record_->first_token.add(waited + first_token);
     record_->started += 1;
@@ -370,6 +384,22 @@
                 { finish(request, at, first_token, incarnation); });
 }
 
+inline std::uint32_t fleet::import_prefix(const chat& of, const placed& at)
+{
+    if (!at.import_from || !in_service_[*at.import_from])
+    {
+        return 0;
+    }
+    const std::uint32_t there = engines_[*at.import_from].cached(of.key, of.history);
+    const std::uint32_t here = engines_[at.engine].cached(of.key, of.history);
+    if (there <= here)
+    {
+        return 0;
+    }
+    engines_[at.engine].import(of.key, there);
+    return there - here;
+}
+
 inline void fleet::record_loss(const pending& request, std::size_t engine, std::uint32_t cached)
 {
     const chat& of = *request.request.of;
--- a/bench/simulation/statistics.hpp
+++ b/bench/simulation/statistics.hpp
@@ -52,6 +52,10 @@
     samples skew;       ///< Largest load over the mean, per instant.
     double started = 0; ///< Requests started on engines.
     double refused = 0;
+    double imported_tokens = 0; ///< Part of cached_tokens that was moved from another engine.
+    double imports = 0;
+    double permit_calls = 0;   ///< Permit requests without waiting, each with an answer.
+    double unused_permits = 0; ///< Permits returned without use.
     double resumed = 0;        ///< Started requests with a history.
     double resumed_cached = 0; ///< Of these, the ones that found most of their history cached.
     double history_tokens = 0;
--- a/endivestage/admission/engine_gate.cpp
+++ b/endivestage/admission/engine_gate.cpp
@@ -33,7 +33,12 @@
 
 std::uint32_t engine_gate::limit() const
 {
-    const std::uint32_t relative = std::min(bound_.limit(policy_.capacity), ramp_.allowance());
+    return within_engine(bound_.limit(policy_.capacity));
+}
+
+std::uint32_t engine_gate::within_engine(std::uint32_t bound) const
+{
+    const std::uint32_t relative = std::min(bound, ramp_.allowance());
     return policy_.most_requests == 0 ? relative : std::min(relative, policy_.most_requests);
 }
 
@@ -59,9 +64,10 @@
     return !refusal(now);
 }
 
-bool engine_gate::has_place(std::uint32_t cached_tokens) const
+bool engine_gate::has_place(std::uint32_t cached_tokens, bool checks_bound) const
 {
-    const std::uint32_t most = limit();
+    const std::uint32_t most =
+        checks_bound ? within_engine(bound_.checked_limit(policy_.capacity)) : limit();
     if (cached_tokens >= policy_.kept_history)
     {
         return load() < most;
@@ -82,7 +88,7 @@
         return make_error_code(errc::deadline_exceeded);
     }
     // A request that does not wait must not overtake the ones that do.
-    if (queue_.empty() && has_place(cache_.cached_tokens(chat_key(request.chat))))
+    if (queue_.empty() && has_place(cache_.cached_tokens(chat_key(request.chat)), request.checks_bound))
     {
         return issue(request, now);
     }
--- a/endivestage/admission/engine_gate.hpp
+++ b/endivestage/admission/engine_gate.hpp
@@ -9,6 +9,7 @@
 #include <endivestage/admission/pool_aggregate.hpp>
 #include <endivestage/admission/team_queue.hpp>
 #include <endivestage/placement/candidates.hpp>
+#include <endivestage/placement/offer.hpp>
 #include <endivestage/placement/recency_index.hpp>
 
 #include <cstdint>
@@ -146,6 +147,10 @@
     /// limits of the warm engines.
     std::optional<engine_load> digest() const;
 
+    /// \brief Sent with every answer to a permit request, refusals included; read before acquire.
+    /// \returns Nothing while the engine gets no new work or its permits are not known yet.
+    std::optional<engine_state> state(const chat_id& chat) const;
+
     /// \returns Requests on the engine as counted by the owner.
     std::uint32_t load() const { return account_.load(); }
 
@@ -173,7 +178,8 @@
 
     std::error_code refusal(time_point now) const;
     bool may_issue(time_point now) const;
-    bool has_place(std::uint32_t cached_tokens) const;
+    bool has_place(std::uint32_t cached_tokens, bool checks_bound) const;
+    std::uint32_t within_engine(std::uint32_t bound) const;
     millis estimated_wait(const permit_request& request) const;
     permit_answer enqueue(const permit_request& request, time_point now);
     permit issue(const permit_request& request, time_point now);
--- a/endivestage/admission/load_bound.hpp
+++ b/endivestage/admission/load_bound.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <endivestage/core.hpp>
+#include <endivestage/placement/bounded_limit.hpp>
 
 #include <cstdint>
 
@@ -32,9 +33,6 @@
     double value() const { return capacity > 0.0 ? load / capacity : 0.0; }
 };
 
-/// \returns max(1, ceil(multiple x mean x weight)), the whole requests that a multiple allows.
-std::uint32_t bounded_limit(double multiple, double mean, double weight);
-
 /// \brief Limit of one engine. Starts at 1, without a mean.
 class load_bound
 {
@@ -55,6 +53,10 @@
     /// \returns The limit in whole requests, at least 1.
     std::uint32_t limit(double weight) const;
 
+    /// \returns The limit without room for a falling mean, for a request whose holder compares its
+    /// offer with the present loads of the whole pool. At least limit().
+    std::uint32_t checked_limit(double weight) const;
+
     /// \returns The admission multiple m, between the policy's least multiple and its multiple.
     double admission_multiple() const;
 
--- a/endivestage/admission/permit.hpp
+++ b/endivestage/admission/permit.hpp
@@ -33,6 +33,9 @@
     std::uint32_t history_tokens = 0;
     time_point deadline;       ///< On the owner's clock.
     bool wait_allowed = false; ///< False: refuse instead of queueing.
+    /// The holder uses a permit with a load above its limit only after a check against the present
+    /// loads of the whole pool (placement_attempt).
+    bool checks_bound = false;
 };
 
 /// \brief A permission to place one request on one engine.
@@ -43,7 +46,7 @@
     std::uint32_t renewal =
         0;                   ///< Renewal from whose sending the time to use counts; 0: the request.
     std::uint32_t load = 0;  ///< Load of the engine, this permit included.
-    std::uint32_t limit = 1; ///< Load up to which the engine admits now.
+    std::uint32_t limit = 1; ///< Load up to which the engine admits without checks_bound.
     std::uint32_t cached_tokens = 0; ///< Tokens of the chat in the engine's cache, estimated.
 };
 
--- a/endivestage/placement.hpp
+++ b/endivestage/placement.hpp
@@ -5,11 +5,13 @@
 ///  - placement_policy (placement/policy.hpp): parameters
 ///  - pool_engine, candidate_ranking, chat_key (placement/candidates.hpp): candidates of a chat
 ///  - recency_index (placement/recency_index.hpp): estimate of an engine's prefix cache
-///  - placement_offer, choose_offer (placement/offer.hpp): choice between offers
+///  - bounded_limit (placement/bounded_limit.hpp): whole requests that a load bound allows
+///  - placement_offer, engine_state, choose_offer (placement/offer.hpp): choice between offers
 ///  - placement_attempt (placement/attempt.hpp): rounds of permit requests and fallback
 #pragma once
 
 #include <endivestage/placement/attempt.hpp>
+#include <endivestage/placement/bounded_limit.hpp>
 #include <endivestage/placement/candidates.hpp>
 #include <endivestage/placement/offer.hpp>
 #include <endivestage/placement/policy.hpp>
--- a/endivestage/placement/attempt.cpp
+++ b/endivestage/placement/attempt.cpp
@@ -1,4 +1,5 @@
 #include <endivestage/placement/attempt.hpp>
+#include <endivestage/placement/bounded_limit.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -7,9 +8,13 @@
 {
 
 placement_attempt::placement_attempt(std::vector<std::size_t> ranked,
-                                     const placement_policy& policy)
+                                     const placement_policy& policy,
+                                     const placement_context& context)
     : ranked_(std::move(ranked)),
-      policy_(policy)
+      policy_(policy),
+      history_tokens_(context.history_tokens),
+      asks_whole_pool_(context.pool_size > 0 && context.pool_size <= policy.whole_pool &&
+                       ranked_.size() == context.pool_size)
 {
 }
 
@@ -20,24 +25,91 @@
 
 placement_step placement_attempt::answered(std::span<const placement_answer> answers)
 {
+    answers_.insert(answers_.end(), answers.begin(), answers.end());
+    if (asks_whole_pool_ && asked_ < ranked_.size() && !found_warm())
+    {
+        return ask_next(ranked_.size());
+    }
     std::vector<placement_offer> offers;
-    std::vector<std::size_t> engines;
-    for (const placement_answer& it : answers)
+    std::vector<std::size_t> usable;
+    std::vector<std::size_t> held;
+    for (std::size_t n = 0; n < answers_.size(); ++n)
     {
-        if (it.offer)
+        if (!answers_[n].offer)
+        {
+            continue;
+        }
+        held.push_back(answers_[n].engine);
+        if (within_bound(*answers_[n].offer))
         {
-            offers.push_back(*it.offer);
-            engines.push_back(it.engine);
+            offers.push_back(*answers_[n].offer);
+            usable.push_back(n);
         }
     }
     const std::optional<std::size_t> chosen = choose_offer(offers, policy_);
     if (!chosen)
     {
-        return next_round();
+        for (placement_answer& it : answers_)
+        {
+            it.offer.reset();
+        }
+        placement_step step = next_round();
+        step.release = std::move(held);
+        return step;
     }
-    placement_step step{placement_step::kind::use, {engines[*chosen]}, engines};
-    std::erase(step.release, engines[*chosen]);
-    return step;
+    const placement_answer& best = answers_[usable[*chosen]];
+    std::erase(held, best.engine);
+    return {placement_step::kind::use, {best.engine}, std::move(held), source_of_import(best)};
+}
+
+bool placement_attempt::found_warm() const
+{
+    return std::any_of(answers_.begin(), answers_.end(),
+                       [&](const placement_answer& it)
+                       {
+                           return it.offer && it.offer->load <= it.offer->limit &&
+                                  it.offer->cached_tokens >= history_tokens_ / 2;
+                       });
+}
+
+bool placement_attempt::within_bound(const placement_offer& offer) const
+{
+    double load = 0.0;
+    double capacity = 0.0;
+    std::size_t known = 0;
+    for (const placement_answer& it : answers_)
+    {
+        if (it.state)
+        {
+            load += it.state->load;
+            capacity += it.state->capacity;
+            ++known;
+        }
+    }
+    if (!asks_whole_pool_ || known < ranked_.size() || capacity <= 0.0)
+    {
+        return offer.load <= offer.limit;
+    }
+    // The mean leaves out this request, which makes up for one that ends before this one starts.
+    return offer.load <= bounded_limit(policy_.multiple, load / capacity, offer.capacity);
+}
+
+std::optional<std::size_t> placement_attempt::source_of_import(const placement_answer& chosen) const
+{
+    const std::uint32_t present = chosen.offer->cached_tokens;
+    std::uint32_t longest = present;
+    std::optional<std::size_t> source;
+    for (const placement_answer& it : answers_)
+    {
+        if (it.state && std::min(history_tokens_, it.state->cached_tokens) > longest)
+        {
+            longest = std::min(history_tokens_, it.state->cached_tokens);
+            source = it.engine;
+        }
+    }
+    const bool worthwhile =
+        policy_.min_import_tokens > 0 && longest - present >= policy_.min_import_tokens;
+    return worthwhile ? source : std::nullopt;
 }
 
 placement_step placement_attempt::next_round()
@@ -51,11 +123,16 @@
         const std::size_t count = std::min(policy_.wait_at, ranked_.size());
         return {placement_step::kind::wait,
                 {ranked_.begin(), ranked_.begin() + static_cast<std::ptrdiff_t>(count)},
+                {},
                 {}};
     }
-    const std::size_t wanted = rounds_ == 0 ? policy_.first_asked : policy_.fallback_asked;
-    const std::size_t end = std::min(ranked_.size(), asked_ + std::max<std::size_t>(1, wanted));
-    placement_step step{placement_step::kind::ask, {}, {}};
+    return ask_next(rounds_ == 0 ? policy_.first_asked : policy_.fallback_asked);
+}
+
+placement_step placement_attempt::ask_next(std::size_t count)
+{
+    const std::size_t end = std::min(ranked_.size(), asked_ + std::max<std::size_t>(1, count));
+    placement_step step{placement_step::kind::ask, {}, {}, {}};
     step.engines.assign(ranked_.begin() + static_cast<std::ptrdiff_t>(asked_),
                         ranked_.begin() + static_cast<std::ptrdiff_t>(end));
     asked_ = end;
--- a/endivestage/placement/candidates.cpp
+++ b/endivestage/placement/candidates.cpp
@@ -104,6 +104,16 @@
     return ranked;
 }
 
+std::size_t candidate_ranking::usable() const
+{
+    std::size_t count = 0;
+    for (const weight_class& it : classes_)
+    {
+        count += it.positions.size();
+    }
+    return count;
+}
+
 std::vector<std::size_t> candidate_ranking::candidates(std::uint64_t chat_key,
                                                        std::size_t limit) const
 {
--- a/endivestage/placement/candidates.hpp
+++ b/endivestage/placement/candidates.hpp
@@ -42,6 +42,9 @@
     /// \param chat_key Hash of the chat id, see chat_key().
     std::vector<std::size_t> candidates(std::uint64_t chat_key, std::size_t limit) const;
 
+    /// \returns Number of usable engines.
+    std::size_t usable() const;
+
     /// \returns Number of engines, usable or not.
     std::size_t size() const { return zones_.size(); }
 
--- a/endivestage/placement/policy.hpp
+++ b/endivestage/placement/policy.hpp
@@ -12,9 +12,16 @@
 struct placement_policy
 {
     std::size_t first_asked = 3;         ///< Candidates asked in the first round (k).
+    /// Pools up to this size are asked as a whole when the first round offers no engine that has
+    /// the chat cached, so that a warm engine is found wherever it is.
+    std::size_t whole_pool = 12;
     std::size_t fallback_asked = 3;      ///< Candidates asked in each further round.
     std::size_t rounds = 4;              ///< Rounds without waiting, the first one included.
     std::size_t wait_at = 1;             ///< Engines in whose queues a refused request waits.
+    double multiple = 1.25; ///< Configured bound (I1) for the check against the present loads.
+    /// Shorter gains are computed again instead of imported: the import's setup takes as long as
+    /// the prefill of some hundred tokens. 0 imports nothing.
+    std::uint32_t min_import_tokens = 0;
     std::uint32_t min_cached_tokens = 1; ///< Shorter cached prefixes do not count as warm.
 };
 
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -176,18 +176,101 @@
     placement_step step = attempt.start();
     REQUIRE(step.what == placement_step::kind::ask);
     REQUIRE(step.engines == std::vector<std::size_t>{4, 2, 7});
-    const std::vector<placement_answer> refused{{4, {}}, {2, {}}, {7, {}}};
+    const std::vector<placement_answer> refused{{4, {}, {}}, {2, {}, {}}, {7, {}, {}}};
     step = attempt.answered(refused);
     REQUIRE(step.what == placement_step::kind::ask);
     REQUIRE(step.engines == std::vector<std::size_t>{1, 0});
     placement_attempt other = attempt;
     REQUIRE(other.answered({}).what == placement_step::kind::wait);
 
-    const std::vector<placement_answer> offered{{1, placement_offer{3, 5, 9, 1.0, 0}},
-                                                {0, placement_offer{4, 2, 9, 1.0, 0}}};
+    const std::vector<placement_answer> offered{{1, placement_offer{3, 5, 9, 1.0, 0}, {}},
+                                                {0, placement_offer{4, 2, 9, 1.0, 0}, {}}};
     step = attempt.answered(offered);
     REQUIRE(step.what == placement_step::kind::use);
     REQUIRE(step.engines == std::vector<std::size_t>{0});
     REQUIRE(step.release == std::vector<std::size_t>{1});
     REQUIRE(placement_attempt({}, {}).start().what == placement_step::kind::give_up);
 }
+
+// Guards against a warm engine of a small pool that is never asked, against asking a part of a
+// large pool as if it were the whole, and against a lost offer of the first round.
+TEST_CASE("a small pool is asked as a whole when the first candidates are not warm")
+{
+    placement_policy policy;
+    policy.whole_pool = 5;
+    placement_attempt attempt({3, 1, 0, 2, 4}, policy, {5, 1000});
+    REQUIRE(attempt.checks_bound());
+    REQUIRE(attempt.start().engines == std::vector<std::size_t>{3, 1, 0});
+    const std::vector<placement_answer> cold{{3, placement_offer{0, 2, 9, 1.0, 400}, {}},
+                                             {1, placement_offer{1, 1, 9, 1.0, 0}, {}},
+                                             {0, {}, {}}};
+    placement_step step = attempt.answered(cold);
+    REQUIRE(step.what == placement_step::kind::ask);
+    REQUIRE(step.engines == std::vector<std::size_t>{2, 4});
+    REQUIRE(step.release.empty());
+    const std::vector<placement_answer> refused{{2, {}, {}}, {4, {}, {}}};
+    step = attempt.answered(refused);
+    REQUIRE(step.what == placement_step::kind::use);
+    REQUIRE(step.engines == std::vector<std::size_t>{3});
+    REQUIRE(step.release == std::vector<std::size_t>{1});
+
+    placement_attempt warm({3, 1, 0, 2, 4}, policy, {5, 1000});
+    warm.start();
+    const std::vector<placement_answer> cached{{3, placement_offer{0, 2, 9, 1.0, 900}, {}}};
+    REQUIRE(warm.answered(cached).what == placement_step::kind::use);
+    for (const std::size_t size : {0, 4, 6})
+    {
+        placement_attempt other({3, 1, 0, 2, 4}, policy, {size, 1000});
+        REQUIRE_FALSE(other.checks_bound());
+        other.start();
+        REQUIRE(other.answered(cold).what == placement_step::kind::use);
+    }
+    std::vector<pool_engine> engines{{1, 1.0, 0, true}, {2, 1.0, 0, false}, {3, 2.0, 1, true}};
+    REQUIRE(candidate_ranking(engines).usable() == 2);
+}
+
+// Guards against admissions above the bound by an entry router that checks the present loads, and
+// against permits that are not returned when no offer passes.
+TEST_CASE("an offer above its limit needs the present loads of the whole pool")
+{
+    const placement_offer offer{0, 7, 6, 1.0, 1000};
+    const auto outcome = [&](std::uint32_t second_load, bool told)
+    {
+        placement_attempt attempt({0, 1}, {}, {2, 1000});
+        attempt.start();
+        const engine_state first{6, 1.0, 1000};
+        std::vector<placement_answer> answers{{0, offer, first}, {1, {}, {}}};
+        if (told)
+        {
+            answers[1].state = engine_state{second_load, 1.0, 0};
+        }
+        return attempt.answered(answers);
+    };
+    REQUIRE(outcome(5, true).what == placement_step::kind::use); // 1.25 x 5.5 allows 7.
+    placement_step step = outcome(3, true);                      // 1.25 x 4.5 allows 6.
+    REQUIRE(step.what == placement_step::kind::wait);
+    REQUIRE(step.release == std::vector<std::size_t>{0});
+    REQUIRE(outcome(5, false).what == placement_step::kind::wait);
+}
+
+// Guards against a long prefix computed again while another engine could export it, and against
+// imports that gain nothing.
+TEST_CASE("the prefix of a warm engine at its limit is imported")
+{
+    const auto source = [](std::uint32_t history, std::uint32_t there, std::uint32_t least)
+    {
+        placement_policy policy;
+        policy.min_import_tokens = least;
+        placement_attempt attempt({0, 1, 2}, policy, {0, history});
+        attempt.start();
+        const std::vector<placement_answer> answers{
+            {0, {}, engine_state{9, 1.0, there}},
+            {1, placement_offer{1, 3, 9, 1.0, 300}, engine_state{2, 1.0, 300}},
+            {2, {}, {}}};
+        return attempt.answered(answers).import_from;
+    };
+    REQUIRE(source(2000, 2000, 500) == 0U);
+    REQUIRE_FALSE(source(2000, 700, 500));
+    REQUIRE_FALSE(source(700, 2000, 500)); // Only the history counts.
+    REQUIRE_FALSE(source(2000, 2000, 0));
+}
