--- a/bench/simulation/statistics.hpp
+++ b/bench/simulation/statistics.hpp
@@ -52,10 +52,19 @@
     samples skew;       ///< Largest load over the mean, per instant.
     double started = 0; ///< Requests started on engines.
     double refused = 0;
+    double imported_tokens = 0; ///< Part of cached_tokens that was moved from another engine.
+    double imports = 0;
+    double permit_calls = 0;   ///< Permit requests without waiting, each with an answer.
+    double unused_permits = 0; ///< Permits returned without use.
     double resumed = 0;        ///< Started requests with a history.
     double resumed_cached = 0; ///< Of these, the ones that found most of their history cached.
     double history_tokens = 0;
     double cached_tokens = 0;
+    // History tokens that the chosen engine had to compute again, by cause.
+    double lost_at_limit = 0; ///< The engine with the longest prefix refused.
+    double lost_not_asked = 0;
+    double lost_evicted = 0; ///< No engine holds these tokens any more.
+    double lost_gone = 0;    ///< The last engine restarted or is out of service.
     double above_at_start = 0;        ///< Starts above the bound against the true mean.
     double above_at_start_ramped = 0; ///< The same, with cold engines counted by their ramp.
     double instants = 0;
