Apply the configured limits and the address lifetime of answers

Cause: four limits and a timing key were checked but never applied; a stopping router waited by its own address lifetime while callers hold answers with the configured one; every non-idempotent request counted as repeated, so a store outage never gave not_run. Change: limits apply; the unused timing key is gone; a stop waits the longer lifetime; the header X-Attempt: 1 marks a first try.

--- a/endivestage/admission/engine_gate_events.cpp
+++ b/endivestage/admission/engine_gate_events.cpp
@@ -65,8 +65,8 @@
         const auto certain =
             std::count_if(permits_.begin(), permits_.end(),
                           [&](const auto& item) { return asked - item.second.issued >= shown; });
-        account_.report(report.running + report.waiting, asked,
-                        static_cast<std::uint32_t>(certain), complete && rebuilding_);
+        account_.report(report.running + report.waiting, asked, static_cast<std::uint32_t>(certain),
+                        complete && rebuilding_);
         rebuilding_ = rebuilding_ && !complete;
     }
     return drain(now);
@@ -192,14 +192,14 @@
     return engine_load{engine_, load(), policy_.capacity * share};
 }
 
-std::optional<engine_state> engine_gate::state(const chat_id& chat) const
+std::optional<engine_snapshot> engine_gate::state(const chat_id& chat) const
 {
     const std::optional<engine_load> present = digest();
     if (!present || rebuilding_)
     {
         return std::nullopt;
     }
-    return engine_state{present->load, policy_.capacity, cache_.cached_tokens(chat_key(chat))};
+    return engine_snapshot{present->load, policy_.capacity, cache_.cached_tokens(chat_key(chat))};
 }
 
 } // namespace endivestage
--- a/endivestage/daemon/admission_service.cpp
+++ b/endivestage/daemon/admission_service.cpp
@@ -53,7 +53,7 @@
 }
 
 gate_policy make_policy(const pool& source, const endpoint_entry& engine,
-                        const std::vector<team>& teams, const timing_settings& timing)
+                        const fleet_configuration& configuration, const timing_settings& timing)
 {
     gate_policy policy;
     policy.capacity = engine.capacity;
@@ -61,7 +61,8 @@
     policy.ramp.start = source.cold_start_permits;
     policy.ramp.first_token_target = source.first_token_target;
     policy.report_lag = timing.report_lag;
-    for (const team& entry : teams)
+    policy.queue.max_waiting = configuration.limits.queue_per_team;
+    for (const team& entry : configuration.teams)
     {
         policy.queue.weights[entry.id] =
             static_cast<std::uint32_t>(std::max(1.0, entry.weight + 0.5));
@@ -606,7 +607,7 @@
                 return engine_configuration{
                     entry.id,
                     {candidate.host, candidate.port},
-                    make_policy(entry, candidate, configuration->teams, node_.settings.timing)};
+                    make_policy(entry, candidate, *configuration, node_.settings.timing)};
             }
         }
     }
@@ -622,7 +623,6 @@
     }
     const time_point now = node_.time.now();
     rebuild_config config;
-    config.time_to_use = node_.settings.timing.permit_time_to_use;
     config.report_lag = node_.settings.timing.report_lag;
     owned_engine owned{engine_gate(found->policy, takeover.endpoint, takeover.in->number, {}, now),
                        found->policy,
@@ -735,8 +735,7 @@
 
 awaitable<void> admission_service::poll_engine(endpoint_id engine, network_address address)
 {
-    const millis visible_after =
-        node_.settings.timing.permit_time_to_use + node_.settings.timing.report_lag;
+    const millis visible_after = permit_time_to_use + node_.settings.timing.report_lag;
     const time_point asked = node_.time.now();
     http_request request;
     request.target = "/v1/load";
--- a/endivestage/daemon/caller_api.cpp
+++ b/endivestage/daemon/caller_api.cpp
@@ -137,6 +137,12 @@
                                    response_writer& writer)
 {
     const std::string& resource = target.segments[1];
+    const std::shared_ptr<const fleet_configuration> present = configuration_.current();
+    if (present && request.body.size() > present->limits.request_bytes)
+    {
+        co_await refuse(writer, errc::too_large, execution::not_run, "the body is too large");
+        co_return;
+    }
     if (configuration_.state() != replica_state::ready)
     {
         co_await refuse(writer, errc::store_unavailable, execution::not_run,
@@ -351,6 +357,7 @@
     wanted.content_type = std::string(find_field(request.fields, "Content-Type"));
     wanted.body = request.body;
     wanted.key = std::string(find_field(request.fields, "Idempotency-Key"));
+    wanted.first_try = find_field(request.fields, "X-Attempt") == "1";
     wanted.deadline = identity->deadline;
     co_await services_.answer(std::move(wanted), writer);
 }
--- a/endivestage/daemon/router.cpp
+++ b/endivestage/daemon/router.cpp
@@ -14,6 +14,7 @@
 #include <endivestage/daemon/placement_service.hpp>
 #include <endivestage/daemon/service_caller.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/signal_set.hpp>
 #include <mutex>
@@ -290,9 +291,20 @@
 
 void router::parts::begin_stop()
 {
+    // Callers may hold an answer as long as the configuration said when it was given.
+    stop_settings times = make_stop_settings(settings);
+    const std::shared_ptr<const fleet_configuration> present = configuration.current();
+    if (present)
+    {
+        times.answer_lifetime = std::max(times.answer_lifetime, present->limits.address_lifetime);
+    }
     std::vector<stop_action> actions;
     {
         const std::scoped_lock lock(stop_mutex);
+        if (stop.step() == stop_step::serving)
+        {
+            stop = planned_stop(times);
+        }
         actions = stop.begin(time.now());
     }
     if (!actions.empty())
--- a/endivestage/daemon/service_caller.cpp
+++ b/endivestage/daemon/service_caller.cpp
@@ -128,10 +128,19 @@
     }
 }
 
-bool service_caller::take_retry(const service_id& service)
+bool service_caller::may_retry(const service_id& service)
 {
     const std::scoped_lock lock(mutex_);
-    return budgets_.try_emplace(service, retry_budget_policy{}).first->second.try_retry();
+    return budget(service).try_retry();
+}
+
+// The mutex must be held.
+retry_budget& service_caller::budget(const service_id& service)
+{
+    const std::shared_ptr<const fleet_configuration> configuration = configuration_.current();
+    retry_budget_policy policy;
+    policy.gain = configuration ? configuration->limits.retry_ratio : policy.gain;
+    return budgets_.try_emplace(service, policy).first->second;
 }
 
 awaitable<service_caller::call_outcome> service_caller::call(const service_request& request,
@@ -198,7 +207,7 @@
 {
     {
         const std::scoped_lock lock(mutex_);
-        budgets_.try_emplace(request.service, retry_budget_policy{}).first->second.first_attempt();
+        budget(request.service).first_attempt();
     }
     std::set<endpoint_id> excluded;
     bool reached = false;
@@ -219,7 +228,7 @@
         reached = reached || is_reached(outcome.what);
         const millis delay = retry_backoff(call_backoff, attempt, node_.random);
         if (attempt >= max_attempts || node_.time.now() + delay >= request.deadline ||
-            !take_retry(request.service))
+            !may_retry(request.service))
         {
             break;
         }
@@ -263,7 +272,7 @@
     wanted.attempt = attempt_id(new_attempt_id(node_.random));
     wanted.router = node_.settings.id;
     wanted.deadline = request.deadline;
-    wanted.repeated = true;
+    wanted.repeated = !request.first_try;
     request_attempt attempt(std::move(wanted), limits_, node_.random);
     attempt_actions first = attempt.start(present());
     std::deque<attempt_action> due(first.begin(), first.end());
--- a/endivestage/daemon/service_caller.hpp
+++ b/endivestage/daemon/service_caller.hpp
@@ -28,7 +28,8 @@
     std::string path;         ///< Path and query behind the service's name, with leading '/'.
     std::string content_type; ///< May be empty.
     std::string body;
-    std::string key; ///< Idempotency-Key; empty when not given.
+    std::string key;        ///< Idempotency-Key; empty when not given.
+    bool first_try = false; ///< The caller states that it never submitted the key before.
     time_point deadline;
 };
 
@@ -81,7 +82,8 @@
     std::optional<usable_endpoint> choose(const service_id& service,
                                           const std::set<endpoint_id>& excluded);
     void finish(const endpoint_id& endpoint);
-    bool take_retry(const service_id& service);
+    bool may_retry(const service_id& service);
+    retry_budget& budget(const service_id& service);
     instant present() const;
 
     node_context& node_;
--- a/endivestage/daemon/settings.cpp
+++ b/endivestage/daemon/settings.cpp
@@ -248,7 +248,6 @@
     members.time("probe_timeout_ms", timing.probe_timeout);
     members.time("confirmation_window_ms", timing.confirmation_window);
     members.time("confirmation_margin_ms", timing.confirmation_margin);
-    members.time("permit_time_to_use_ms", timing.permit_time_to_use);
     members.time("report_lag_ms", timing.report_lag);
     members.time("digest_period_ms", timing.digest_period);
     members.time("store_poll_period_ms", timing.store_poll_period);
--- a/endivestage/daemon/settings.hpp
+++ b/endivestage/daemon/settings.hpp
@@ -55,7 +55,6 @@
     millis probe_timeout{300};
     millis confirmation_window{2000};
     millis confirmation_margin{500};
-    millis permit_time_to_use{1000};
     millis report_lag{1000};
     millis digest_period{250};
     millis store_poll_period{1000};
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -238,11 +238,11 @@
     {
         placement_attempt attempt({0, 1}, {}, {2, 1000});
         attempt.start();
-        const engine_state first{6, 1.0, 1000};
+        const engine_snapshot first{6, 1.0, 1000};
         std::vector<placement_answer> answers{{0, offer, first}, {1, {}, {}}};
         if (told)
         {
-            answers[1].state = engine_state{second_load, 1.0, 0};
+            answers[1].state = engine_snapshot{second_load, 1.0, 0};
         }
         return attempt.answered(answers);
     };
@@ -264,8 +264,8 @@
         placement_attempt attempt({0, 1, 2}, policy, {0, history});
         attempt.start();
         const std::vector<placement_answer> answers{
-            {0, {}, engine_state{9, 1.0, there}},
-            {1, placement_offer{1, 3, 9, 1.0, 300}, engine_state{2, 1.0, 300}},
+            {0, {}, engine_snapshot{9, 1.0, there}},
+            {1, placement_offer{1, 3, 9, 1.0, 300}, engine_snapshot{2, 1.0, 300}},
             {2, {}, {}}};
         return attempt.answered(answers).import_from;
     };
