Propose no view from a list of live routers older than the view

Cause: a router proposes as soon as its list of live routers differs from the view it has just adopted. At that moment the list does not know the view's members yet: a restarted router, whose list holds only itself, proposed a view of one member 5 ms after it read the row, and took all engines from the other owners; members that adopted an addition early removed it again. A rolling restart of 4 routers made 44 view proposals, and permit requests waited out the rebuilds. Ruled out: callers' connections in the listen backlog (the load generator's retries follow its 10 s limit for the answer's head, while the entry router waits for a permit), and learning the view's members in the failure detector alone, which the daemon does already: the proposal is made in the same call that adopts the view. Change: no change is proposed within 200 ms after a view was adopted.

--- a/endivestage/ownership/view_agent.cpp
+++ b/endivestage/ownership/view_agent.cpp
@@ -257,7 +257,8 @@
         difference_since = now;
     }
     const std::optional<std::size_t> rank = own_rank();
-    if (rank && now - *difference_since >= config.takeover * static_cast<std::int64_t>(*rank))
+    if (rank && now - adopted_at >= config.settle &&
+        now - *difference_since >= config.takeover * static_cast<std::int64_t>(*rank))
     {
         replace_row({current->number + 1, view_state::preparing, region, wanted, current->members},
                     now, actions);
--- a/endivestage/ownership/view_agent.hpp
+++ b/endivestage/ownership/view_agent.hpp
@@ -23,8 +23,11 @@
     millis confirm_period{1000};        ///< Each witness is asked once in this time.
     /// The row is read when the confirmation is older than this; less often while witnesses answer.
     millis read_after{1300};
-    millis resend{500};         ///< Announcements without acknowledgement are repeated after this.
-    millis takeover{2000};      ///< The next rank proposes, or takes a change over, after this.
+    millis resend{500};    ///< Announcements without acknowledgement are repeated after this.
+    millis takeover{2000}; ///< The next rank proposes, or takes a change over, after this.
+    /// No change is proposed for this long after a view was adopted: the list of live routers is
+    /// older than the view, and the failure detector must first learn the view's members.
+    millis settle{200};
     millis table_timeout{3000}; ///< A table operation without outcome counts as lost after this.
 };
 
