Format the engine gate's report

Change: clang-format. Before: the format check failed. After: it passes. Conclusion: no change of behaviour.

--- a/endivestage/admission/engine_gate_events.cpp
+++ b/endivestage/admission/engine_gate_events.cpp
@@ -65,8 +65,8 @@
         const auto certain =
             std::count_if(permits_.begin(), permits_.end(),
                           [&](const auto& item) { return asked - item.second.issued >= shown; });
-        account_.report(report.running + report.waiting, asked,
-                        static_cast<std::uint32_t>(certain), complete && rebuilding_);
+        account_.report(report.running + report.waiting, asked, static_cast<std::uint32_t>(certain),
+                        complete && rebuilding_);
         rebuilding_ = rebuilding_ && !complete;
     }
     return drain(now);
