--- a/bench/simulation/fleet.hpp
+++ b/bench/simulation/fleet.hpp
@@ -44,7 +44,7 @@
     double load = 5; ///< Running requests per engine aimed at.
     std::uint32_t most_requests = 0;
     bool check_present = true; ///< Small pools check offers against present loads.
-    bool one_team = false; ///< Baseline of the team queue: first come, first served.
+    bool one_team = false;     ///< Baseline of the team queue: first come, first served.
     routing kind = routing::endivestage;
     endivestage::gate_policy gate;
     endivestage::placement_policy placement;
--- a/bench/simulation/statistics.hpp
+++ b/bench/simulation/statistics.hpp
@@ -63,8 +63,8 @@
     // History tokens that the chosen engine had to compute again, by cause.
     double lost_at_limit = 0; ///< The engine with the longest prefix refused.
     double lost_not_asked = 0;
-    double lost_evicted = 0; ///< No engine holds these tokens any more.
-    double lost_gone = 0;    ///< The last engine restarted or is out of service.
+    double lost_evicted = 0;          ///< No engine holds these tokens any more.
+    double lost_gone = 0;             ///< The last engine restarted or is out of service.
     double above_at_start = 0;        ///< Starts above the bound against the true mean.
     double above_at_start_ramped = 0; ///< The same, with cold engines counted by their ramp.
     double instants = 0;
--- a/endivestage/admission/engine_gate.cpp
+++ b/endivestage/admission/engine_gate.cpp
@@ -88,7 +88,8 @@
         return make_error_code(errc::deadline_exceeded);
     }
     // A request that does not wait must not overtake the ones that do.
-    if (queue_.empty() && has_place(cache_.cached_tokens(chat_key(request.chat)), request.checks_bound))
+    if (queue_.empty() &&
+        has_place(cache_.cached_tokens(chat_key(request.chat)), request.checks_bound))
     {
         return issue(request, now);
     }
--- a/endivestage/admission/engine_gate_events.cpp
+++ b/endivestage/admission/engine_gate_events.cpp
@@ -185,14 +185,14 @@
     return engine_load{engine_, load(), policy_.capacity * share};
 }
 
-std::optional<engine_state> engine_gate::state(const chat_id& chat) const
+std::optional<engine_status> engine_gate::state(const chat_id& chat) const
 {
     const std::optional<engine_load> present = digest();
     if (!present || rebuilding_)
     {
         return std::nullopt;
     }
-    return engine_state{present->load, policy_.capacity, cache_.cached_tokens(chat_key(chat))};
+    return engine_status{present->load, policy_.capacity, cache_.cached_tokens(chat_key(chat))};
 }
 
 } // namespace endivestage
--- a/endivestage/placement.hpp
+++ b/endivestage/placement.hpp
@@ -6,7 +6,7 @@
 ///  - pool_engine, candidate_ranking, chat_key (placement/candidates.hpp): candidates of a chat
 ///  - recency_index (placement/recency_index.hpp): estimate of an engine's prefix cache
 ///  - bounded_limit (placement/bounded_limit.hpp): whole requests that a load bound allows
-///  - placement_offer, engine_state, choose_offer (placement/offer.hpp): choice between offers
+///  - placement_offer, engine_status, choose_offer (placement/offer.hpp): choice between offers
 ///  - placement_attempt (placement/attempt.hpp): rounds of permit requests and fallback
 #pragma once
 
--- a/endivestage/placement/attempt.cpp
+++ b/endivestage/placement/attempt.cpp
@@ -108,8 +108,8 @@
             source = it.engine;
         }
     }
-    const bool worthwhile =
-        policy_.min_import_tokens > 0 && longest - present >= policy_.min_import_tokens;
+    const bool worthwhile = asks_whole_pool_ && policy_.min_import_tokens > 0 &&
+                            longest - present >= policy_.min_import_tokens;
     return worthwhile ? source : std::nullopt;
 }
 
--- a/endivestage/placement/attempt.hpp
+++ b/endivestage/placement/attempt.hpp
@@ -37,7 +37,7 @@
 {
     std::size_t engine = 0;
     std::optional<placement_offer> offer; ///< Empty for a refusal or no answer in time.
-    std::optional<engine_state> state;    ///< Empty without an answer, or when not known.
+    std::optional<engine_status> state;   ///< Empty without an answer, or when not known.
 };
 
 /// \brief What is known about a request before the first round.
@@ -49,9 +49,9 @@
 
 /// \brief State of the placement of one request at its entry router.
 ///
-/// Asks the first k candidates, then further ranks when all refused, then waits. In a small pool, all
-/// other engines are asked in the second round when no offer of the first has the chat cached; the
-/// offers of the first round are held meanwhile.
+/// Asks the first k candidates, then further ranks when all refused, then waits. In a small pool,
+/// all other engines are asked in the second round when no offer of the first has the chat cached;
+/// the offers of the first round are held meanwhile.
 ///
 /// An offer above its limit is used only when all engines of the pool told their state and the load
 /// is within the bound of their mean. The requests of such a pool are sent with checks_bound.
--- a/endivestage/placement/offer.hpp
+++ b/endivestage/placement/offer.hpp
@@ -23,7 +23,7 @@
 };
 
 /// \brief What the owner of one engine told with its answer, also with a refusal.
-struct engine_state
+struct engine_status
 {
     std::uint32_t load = 0;          ///< Requests on the engine, without the asking one.
     double capacity = 1.0;           ///< Weight of the engine, also while it is cold.
