--- a/endivestage/placement/attempt.hpp
+++ b/endivestage/placement/attempt.hpp
@@ -37,7 +37,7 @@
 {
     std::size_t engine = 0;
     std::optional<placement_offer> offer; ///< Empty for a refusal or no answer in time.
-    std::optional<engine_snapshot> state; ///< Empty without an answer, or when not known.
+    std::optional<engine_status> state;   ///< Empty without an answer, or when not known.
 };
 
 /// \brief What is known about a request before the first round.
--- a/endivestage/placement/policy.hpp
+++ b/endivestage/placement/policy.hpp
@@ -24,8 +24,9 @@
     double ending_meanwhile = 2.0;
     double multiple = 1.25; ///< Configured bound (I1) for the check against the present loads.
     /// Shorter gains are computed again instead of imported: the import's setup takes as long as
-    /// the prefill of some hundred tokens. 0 imports nothing.
-    std::uint32_t min_import_tokens = 0;
+    /// the prefill of some hundred tokens. 0 imports nothing. Only pools that are asked as a whole
+    /// import: larger ones meet the reuse target without.
+    std::uint32_t min_import_tokens = 500;
     std::uint32_t min_cached_tokens = 1; ///< Shorter cached prefixes do not count as warm.
 };
 
