--- a/endivestage/core/error.hpp
+++ b/endivestage/core/error.hpp
@@ -69,7 +69,9 @@
 
 } // namespace endivestage
 
+/// \cond
 template <>
 struct std::is_error_code_enum<endivestage::errc> : std::true_type
 {
 };
+/// \endcond
--- a/endivestage/core/ids.hpp
+++ b/endivestage/core/ids.hpp
@@ -44,6 +44,7 @@
 
 } // namespace endivestage
 
+/// \cond
 template <class Tag>
 struct std::hash<endivestage::id<Tag>>
 {
@@ -52,3 +53,4 @@
         return std::hash<std::string_view>{}(value.view());
     }
 };
+/// \endcond
--- a/endivestage/ledger/key.hpp
+++ b/endivestage/ledger/key.hpp
@@ -37,8 +37,8 @@
 
 /// \brief Creation time that a key carries.
 ///
-/// A key is either a UUID of version 7 or has the form "<ms>-<text>", where <ms> is the creation
-/// time in decimal milliseconds since the Unix epoch.
+/// A key is either a UUID of version 7 or has the form `<ms>-<text>`, where `<ms>` is the
+/// creation time in decimal milliseconds since the Unix epoch.
 /// \returns The creation time, or errc::invalid_request when the key has neither form, is longer
 /// than 200 bytes or has characters other than printable ASCII.
 result<time_point> key_creation_time(std::string_view key);
--- a/endivestage/ownership/owner.hpp
+++ b/endivestage/ownership/owner.hpp
@@ -19,7 +19,7 @@
 /// are not leaving. Null when there is none. Valid as long as \p members.
 const member* owner_of(std::span<const member> members, const endpoint_id& endpoint);
 
-/// \copydoc owner_of
+/// \returns owner_of() over the members of the view. Valid as long as the view.
 inline const member* owner_of(const view& in, const endpoint_id& endpoint)
 {
     return owner_of(std::span<const member>(in.members), endpoint);
@@ -37,7 +37,7 @@
 /// \returns At most witness_count members; all others when there are fewer.
 std::vector<member> witnesses_of(std::span<const member> members, const router_id& id);
 
-/// \copydoc witnesses_of
+/// \returns witnesses_of() over the members of the view.
 inline std::vector<member> witnesses_of(const view& in, const router_id& id)
 {
     return witnesses_of(std::span<const member>(in.members), id);
--- a/endivestage/timeline/render.hpp
+++ b/endivestage/timeline/render.hpp
@@ -9,7 +9,7 @@
 namespace endivestage
 {
 
-/// \returns One line without line end: at=<ms>.<counter> kind=... and further key=value pairs
+/// \returns One line without line end: `at=<ms>.<counter> kind=...` and further key=value pairs
 /// separated by spaces; empty ids are left out.
 ///
 /// A value that is empty or has characters other than letters, digits and any of -_.:/@+, is put in
