--- a/bench/placement_cost.cpp
+++ b/bench/placement_cost.cpp
@@ -110,6 +110,8 @@
     measure_decision(600, 1, "decision_600_engines");
     measure_decision(600, 3, "decision_600_engines_3_capacities");
     measure_decision(9, 1, "decision_9_engines");
+    measure_decision(100, 1, "decision_100_engines");
+    measure_decision(300, 1, "decision_300_engines");
     measure_recency();
     return 0;
 }
