--- a/tests/daemon_fuzz_test.cpp
+++ b/tests/daemon_fuzz_test.cpp
@@ -139,8 +139,15 @@
     feed_object("outcome", encode(permit_outcome{permit_outcome::kind::failed, millis{5}, 9}),
                 [](const json::object& object)
                 { return decode_outcome(object), std::error_code(); });
-    feed_object("held", encode(held_permit{{1, 2}, router_id("r1"), request_id("q"), chat_id("c")}),
-                [](const json::object& object) { return decode_held(object), std::error_code(); });
+    held_report held{{router_id("r1"), 3}, 7, {}, engine_handover{}};
+    held.permits.push_back(
+        {{{1, 2}, router_id("r1"), request_id("q"), chat_id("c")}, {router_id("r2"), 4}});
+    held.handover->account.outstanding.push_back(
+        {make_stamp(endpoint_id("e"), {1, 2}, {router_id("r2"), 4}), {router_id("r1"), 3}});
+    held.handover->cache.push_back({5, 600});
+    feed_object("held", encode(held),
+                [](const json::object& object)
+                { return decode_held_report(endpoint_id("e"), object), std::error_code(); });
     feed_object("loads", {{"loads", encode(std::vector<engine_load>{{endpoint_id("e"), 3, 1.5}})}},
                 [](const json::object& object)
                 { return decode_loads(get_array(object, "loads")), std::error_code(); });
