--- a/bench/measure.cpp
+++ b/bench/measure.cpp
@@ -35,7 +35,6 @@
 
 std::vector<scenario> all_scenarios(const fleet_options& base)
 {
-    fleet_options today = base;
     fleet_options twelve = base;
     twelve.engines = 12;
     twelve.routers = 9;
@@ -44,7 +43,7 @@
     target.routers = 40;
     target.zones = 7;
     target.load = 30;
-    return {{"today", today, 4096, 0.02},
+    return {{"today", base, 4096, 0.02},
             {"twelve", twelve, 4096, 0.02},
             {"target", target, 15 * 1024, 0.001}};
 }
@@ -234,11 +233,11 @@
          {"lost_not_asked.", &window_record::lost_not_asked},
          {"lost_evicted.", &window_record::lost_evicted},
          {"lost_gone.", &window_record::lost_gone}}};
-    for (const auto& [name, tokens_lost] : causes)
+    for (const std::pair<const char*, loss>& cause : causes)
     {
-        out.line(name + phase, "share of history tokens", std::nullopt, runs,
+        out.line(cause.first + phase, "share of history tokens", std::nullopt, runs,
                  [&](run_result& it)
-                 { return ratio((it.*window).*tokens_lost, (it.*window).history_tokens); });
+                 { return ratio((it.*window).*cause.second, (it.*window).history_tokens); });
     }
 }
 
--- a/bench/simulation/fleet_impl.hpp
+++ b/bench/simulation/fleet_impl.hpp
@@ -134,7 +134,7 @@
     request->asked.insert(request->asked.end(), engines.begin(), engines.end());
     for (std::size_t n = 0; n < engines.size(); ++n)
     {
-        const std::optional<es::engine_status> state = gates_[engines[n]]->state(asked.chat);
+        const std::optional<es::engine_status> state = gates_[engines[n]]->status(asked.chat);
         const es::permit_answer answer = gates_[engines[n]]->acquire(asked, loop_.time());
         answers.push_back({engines[n], {}, options_.check_present ? state : std::nullopt});
         if (const auto* it = std::get_if<es::permit>(&answer))
--- a/endivestage/admission/engine_gate.hpp
+++ b/endivestage/admission/engine_gate.hpp
@@ -149,7 +149,7 @@
 
     /// \brief Sent with every answer to a permit request, refusals included; read before acquire.
     /// \returns Nothing while the engine gets no new work or its permits are not known yet.
-    std::optional<engine_status> state(const chat_id& chat) const;
+    std::optional<engine_status> status(const chat_id& chat) const;
 
     /// \returns Requests on the engine as counted by the owner.
     std::uint32_t load() const { return account_.load(); }
--- a/endivestage/admission/engine_gate_events.cpp
+++ b/endivestage/admission/engine_gate_events.cpp
@@ -185,7 +185,7 @@
     return engine_load{engine_, load(), policy_.capacity * share};
 }
 
-std::optional<engine_status> engine_gate::state(const chat_id& chat) const
+std::optional<engine_status> engine_gate::status(const chat_id& chat) const
 {
     const std::optional<engine_load> present = digest();
     if (!present || rebuilding_)
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -624,15 +624,15 @@
     gate.release(first.key, done, {2});
     REQUIRE(std::holds_alternative<permit>(gate.acquire(make_request(1), {3})));
     REQUIRE(refusal_of(gate.acquire(make_request(0), {4})) == errc::overloaded);
-    const engine_status state = gate.state(make_request(0).chat).value();
+    const engine_status state = gate.status(make_request(0).chat).value();
     REQUIRE(state.load == 1);
     REQUIRE(state.capacity == 1.0);
     REQUIRE(state.cached_tokens == 500);
     gate.set_service(engine_service::leaving, {5});
-    REQUIRE_FALSE(gate.state(make_request(0).chat));
+    REQUIRE_FALSE(gate.status(make_request(0).chat));
     const std::vector<router_id> ask{router_id("r1")};
     const engine_gate rebuilt({}, endpoint_id("e0"), 1, ask, {1});
-    REQUIRE_FALSE(rebuilt.state(make_request(0).chat));
+    REQUIRE_FALSE(rebuilt.status(make_request(0).chat));
 }
 
 // Guards against retries that add to an outage.
