Run each process fault as a test of its own

Cause: one test for all faults turned red as a whole when one check failed. Change: ctest has one test per fault.

--- a/cmake/process_tests.cmake
+++ b/cmake/process_tests.cmake
@@ -2,7 +2,14 @@
 # a time; the timeouts only end a hanging run.
 set(PROCESS_TEST_NET 77 CACHE STRING "Second octet of the loopback addresses of process tests")
 add_test(NAME demo COMMAND "${CMAKE_SOURCE_DIR}/scripts/demo" --no-build)
-add_test(NAME faults_processes COMMAND "${CMAKE_SOURCE_DIR}/scripts/faults-processes")
-set_tests_properties(demo faults_processes PROPERTIES
+set(process_tests demo)
+# One test per fault, so that a red one hides no other.
+foreach(fault router_killed engine_killed streams_faulty answer_lost answer_crossed store_down
+              table_answers_lost router_paused concurrent_apply connections_silent rolling_restart
+              engine_cold)
+  add_test(NAME faults_${fault} COMMAND "${CMAKE_SOURCE_DIR}/scripts/faults-processes" ${fault})
+  list(APPEND process_tests faults_${fault})
+endforeach()
+set_tests_properties(${process_tests} PROPERTIES
   ENVIRONMENT "BUILD=${CMAKE_BINARY_DIR};ENDIVESTAGE_NET=${PROCESS_TEST_NET}"
-  RESOURCE_LOCK loopback_fleet RUN_SERIAL TRUE TIMEOUT 900)
+  RESOURCE_LOCK loopback_fleet RUN_SERIAL TRUE TIMEOUT 300)
