--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace endivestage;
@@ -1001,3 +1002,45 @@
     REQUIRE(ask(1).newest == news);
     REQUIRE(ask(2).confirmed);
 }
+
+// Guards against a restarted router that removes all others, because its list of live routers is
+// older than the view that it has just read.
+TEST_CASE("a view that was just adopted is not changed from an older list of live routers")
+{
+    const std::vector<member> members{make_member(0), make_member(1), make_member(2)};
+    view_agent agent({}, region_id("test"), members[0]);
+    agent.on_membership(std::vector<member>{members[0]}, time_point{0});
+    const view stored{5, view_state::active, region_id("test"), members, {}};
+    std::size_t reads = 0;
+    std::size_t writes = 0;
+    std::vector<table_request> due;
+    const auto take = [&](const view_actions& actions)
+    {
+        for (const view_action& action : actions)
+        {
+            if (const table_request* request = std::get_if<table_request>(&action))
+            {
+                const bool read = request->operation.what == table_operation::kind::read;
+                ++(read ? reads : writes);
+                due.push_back(*request);
+            }
+        }
+    };
+    for (std::int64_t now = 0; now < 1000; now += 50)
+    {
+        take(agent.tick(time_point{now}));
+        for (const table_request& request : std::exchange(due, {}))
+        {
+            table_result answer;
+            answer.what = table_result::outcome::applied;
+            answer.row = {request.operation.key, 9, encode_view(stored)};
+            take(agent.on_table_result(request.token, answer, time_point{now + 5}));
+        }
+        if (now >= 50)
+        {
+            take(agent.on_membership(members, time_point{now + 10}));
+        }
+    }
+    REQUIRE(reads > 0);
+    REQUIRE(writes == 0);
+}
