--- a/endivestage/daemon/admission_service.cpp
+++ b/endivestage/daemon/admission_service.cpp
@@ -175,6 +175,13 @@
                          {
                              co_return message.error();
                          }
+                         // A new owner asks the members of its view which permits they hold; a
+                         // permit of any other router would be missed (R6).
+                         const view_pointer present = cluster_.view_now();
+                         if (!present || find_member(present->members, from) == nullptr)
+                         {
+                             co_return make_error_code(errc::stale_view);
+                         }
                          message->request.holder = from;
                          co_return co_await acquire_here(std::move(*message));
                      });
