--- a/endivestage/daemon/admission_service.hpp
+++ b/endivestage/daemon/admission_service.hpp
@@ -105,6 +105,8 @@
     void refresh();
 
 private:
+    static constexpr millis peer_timeout{1000}; ///< Of calls to other routers that do not wait.
+
     using answer_callback = std::function<void(rpc_answer)>;
     using pending_calls = std::vector<std::function<void()>>;
     using waiting_key = std::pair<router_id, request_id>;
