Read and validate a configuration folder in one place

Cause: config apply and config diff repeated the same reading, merge and report of faults; the timeline call kept an array that nothing filled. Change: read_valid_folder serves both; the unused array is gone. Before: two copies. Conclusion: no change of behavior.

--- a/endivestage/daemon/commands.cpp
+++ b/endivestage/daemon/commands.cpp
@@ -95,6 +95,30 @@
     }
 }
 
+/// The files of a folder with the configuration that they form.
+struct merged_folder
+{
+    std::vector<configuration_file> files;
+    fleet_configuration configuration;
+};
+
+/// Reads and merges a folder; prints what is wrong with it.
+std::optional<merged_folder> read_valid_folder(const std::string& folder, bool as_json)
+{
+    std::optional<std::vector<configuration_file>> files = read_folder(folder);
+    if (!files)
+    {
+        return std::nullopt;
+    }
+    configuration_merge merged = merge_configuration(*files);
+    if (!merged.ok())
+    {
+        print_faults(merged.faults, as_json);
+        return std::nullopt;
+    }
+    return merged_folder{std::move(*files), std::move(merged.configuration)};
+}
+
 const char* subject_name(configuration_subject subject)
 {
     switch (subject)
@@ -306,19 +330,13 @@
 int run_config_apply(const remote_options& remote, const std::string& folder,
                      const std::string& author, std::int64_t base)
 {
-    const std::optional<std::vector<configuration_file>> files = read_folder(folder);
-    if (!files)
-    {
-        return exit_settings;
-    }
-    const configuration_merge merged = merge_configuration(*files);
-    if (!merged.ok())
+    const std::optional<merged_folder> source = read_valid_folder(folder, remote.json);
+    if (!source)
     {
-        print_faults(merged.faults, remote.json);
         return exit_settings;
     }
     json::array list;
-    for (const configuration_file& file : *files)
+    for (const configuration_file& file : source->files)
     {
         list.push_back(json::object{{"name", file.name}, {"content", file.content}});
     }
@@ -341,15 +359,9 @@
 
 int run_config_diff(const remote_options& remote, const std::string& folder)
 {
-    const std::optional<std::vector<configuration_file>> files = read_folder(folder);
-    if (!files)
-    {
-        return exit_settings;
-    }
-    const configuration_merge merged = merge_configuration(*files);
-    if (!merged.ok())
+    const std::optional<merged_folder> source = read_valid_folder(folder, remote.json);
+    if (!source)
     {
-        print_faults(merged.faults, remote.json);
         return exit_settings;
     }
     const result<http_response> response = call_router(remote, "GET", "/v1/operator/configuration");
@@ -369,7 +381,7 @@
     {
         return report_failure(response);
     }
-    for (const configuration_change& change : diff_configurations(present, merged.configuration))
+    for (const configuration_change& change : diff_configurations(present, source->configuration))
     {
         print_change(change, remote.json);
     }
--- a/endivestage/daemon/operator_api.cpp
+++ b/endivestage/daemon/operator_api.cpp
@@ -369,7 +369,6 @@
     const std::string zone(target.parameter("zone"));
     std::vector<std::vector<timeline_event>> timelines;
     timelines.push_back(node_.events.select(decode_filter(request, host, zone), timeline_limit));
-    json::array unreachable;
     for (const member& peer : cluster_.live_peers())
     {
         json::object question{{"request", request}, {"host", host}, {"zone", zone}};
