--- a/endivestage/daemon/command_line.cpp
+++ b/endivestage/daemon/command_line.cpp
@@ -1,9 +1,11 @@
 #include <endivestage/daemon/commands.hpp>
+#include <endivestage/gateway/server.hpp>
 
 #include <CLI/CLI.hpp>
 #include <functional>
 #include <iostream>
 #include <memory>
+#include <platform/ports.hpp>
 
 namespace endivestage::daemon
 {
@@ -158,6 +160,13 @@
                     [&values] { return run_router(values.settings_file, values.check_only); });
     router->add_option("--settings", values.settings_file, "JSON settings file")->required();
     router->add_flag("--check", values.check_only, "Check the settings and exit");
+    CLI::App* gateway = add_command(
+        app, "gateway", "Run a router on the users' platform", code,
+        [&values] { return gateway::run_gateway(values.settings_file, platform::make_ports); });
+    gateway
+        ->add_option("--settings", values.settings_file,
+                     "JSON settings file; default: the one that the platform names")
+        ->default_val(platform::settings_file());
     add_config_commands(app, values, code);
     add_zone_commands(app, values, code);
     add_request_commands(app, values, code);
--- /dev/null
+++ b/endivestage/daemon/http_connection.cpp
@@ -0,0 +1,241 @@
+#include <endivestage/daemon/http_connection.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <netinet/tcp.h>
+#include <optional>
+#include <utility>
+
+namespace endivestage::daemon
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace
+{
+
+constexpr std::size_t read_buffer_bytes = 16384;
+constexpr std::uint64_t answer_limit_bytes = 64ULL * 1024 * 1024;
+
+using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+using keep_alive_idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using keep_alive_interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using keep_alive_count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+
+std::chrono::milliseconds to_chrono(millis d)
+{
+    return std::chrono::milliseconds(std::max<std::int64_t>(1, d.count));
+}
+
+} // namespace
+
+struct http_connection::state
+{
+    explicit state(asio::any_io_executor executor) : stream(std::move(executor)) {}
+
+    std::error_code failure() const
+    {
+        return closed ? make_error_code(errc::cancelled) : make_error_code(errc::outcome_unknown);
+    }
+
+    static awaitable<void> write(std::shared_ptr<state> self,
+                                 std::shared_ptr<http::request<http::string_body>> message);
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buf;
+    std::optional<http::response_parser<http::buffer_body>> parser;
+    std::unique_ptr<char[]> body = // NOLINT(*-avoid-c-arrays)
+        std::make_unique_for_overwrite<char[]>(read_buffer_bytes); // NOLINT(*-avoid-c-arrays)
+    bool sending = false;
+    bool send_failed = false;
+    bool closed = false;
+};
+
+http_connection::http_connection(asio::any_io_executor executor)
+    : state_(std::make_shared<state>(std::move(executor)))
+{
+}
+
+http_connection::~http_connection()
+{
+    close();
+}
+
+awaitable<std::error_code> http_connection::connect(network_address address, millis timeout,
+                                                    millis silence)
+{
+    std::shared_ptr<state> self = state_;
+    boost::system::error_code ec;
+    const asio::ip::address ip = asio::ip::make_address(address.host, ec);
+    if (!ec)
+    {
+        self->stream.socket().open(ip.is_v6() ? tcp::v6() : tcp::v4(), ec);
+    }
+    if (!ec)
+    {
+        boost::system::error_code ignored;
+        self->stream.socket().set_option(user_timeout(static_cast<int>(silence.count)), ignored);
+        self->stream.socket().set_option(tcp::no_delay(true), ignored);
+        self->stream.expires_after(to_chrono(timeout));
+        co_await self->stream.async_connect(tcp::endpoint(ip, address.port),
+                                            asio::redirect_error(asio::use_awaitable, ec));
+    }
+    if (ec)
+    {
+        co_return self->closed ? make_error_code(errc::cancelled)
+                               : make_error_code(errc::endpoint_unavailable);
+    }
+    // An answer may take long without any byte: probes tell a busy server from a silent link.
+    boost::system::error_code ignored;
+    self->stream.socket().set_option(asio::socket_base::keep_alive(true), ignored);
+    self->stream.socket().set_option(keep_alive_idle(1), ignored);
+    self->stream.socket().set_option(keep_alive_interval(1), ignored);
+    self->stream.socket().set_option(keep_alive_count(2), ignored);
+    co_return std::error_code{};
+}
+
+awaitable<void>
+http_connection::state::write(std::shared_ptr<state> self,
+                              std::shared_ptr<http::request<http::string_body>> message)
+{
+    boost::system::error_code ec;
+    co_await http::async_write(self->stream, *message,
+                               asio::redirect_error(asio::use_awaitable, ec));
+    self->sending = false;
+    self->send_failed = static_cast<bool>(ec);
+}
+
+void http_connection::send(http_request request)
+{
+    std::shared_ptr<http::request<http::string_body>> message =
+        std::make_shared<http::request<http::string_body>>();
+    message->version(11);
+    message->method_string(request.method);
+    message->target(request.target);
+    for (const std::pair<std::string, std::string>& field : request.fields)
+    {
+        message->insert(field.first, field.second);
+    }
+    const bool has_body = !request.body.empty() || request.method == "POST";
+    message->body() = std::move(request.body);
+    if (has_body)
+    {
+        message->content_length(message->body().size());
+    }
+    state_->sending = true;
+    state_->send_failed = false;
+    state_->stream.expires_never();
+    asio::co_spawn(state_->stream.get_executor(), state::write(state_, std::move(message)),
+                   asio::detached);
+}
+
+awaitable<result<http_response>> http_connection::read_head(millis timeout)
+{
+    std::shared_ptr<state> self = state_;
+    self->parser.emplace();
+    self->parser->body_limit(answer_limit_bytes);
+    boost::system::error_code ec;
+    self->stream.expires_after(to_chrono(timeout));
+    co_await http::async_read_header(self->stream, self->buf, *self->parser,
+                                     asio::redirect_error(asio::use_awaitable, ec));
+    if (ec)
+    {
+        co_return self->failure();
+    }
+    http_response head;
+    head.status = static_cast<int>(self->parser->get().result_int());
+    for (const auto& field : self->parser->get())
+    {
+        head.fields.emplace_back(field.name_string(), field.value());
+    }
+    co_return head;
+}
+
+awaitable<result<std::string>> http_connection::read_some(millis timeout)
+{
+    std::shared_ptr<state> self = state_;
+    std::string data;
+    while (data.empty() && !self->parser->is_done())
+    {
+        self->parser->get().body().data = self->body.get();
+        self->parser->get().body().size = read_buffer_bytes;
+        boost::system::error_code ec;
+        self->stream.expires_after(to_chrono(timeout));
+        co_await http::async_read_some(self->stream, self->buf, *self->parser,
+                                       asio::redirect_error(asio::use_awaitable, ec));
+        if (ec == http::error::end_of_stream)
+        {
+            // The end of a body without a length.
+            boost::system::error_code finish;
+            self->parser->put_eof(finish);
+            ec = finish;
+        }
+        if (ec && ec != http::error::need_buffer)
+        {
+            co_return self->failure();
+        }
+        data.assign(self->body.get(), read_buffer_bytes - self->parser->get().body().size);
+    }
+    co_return data;
+}
+
+bool http_connection::reusable() const
+{
+    return !state_->closed && !state_->sending && !state_->send_failed && state_->parser &&
+           state_->parser->is_done() && state_->parser->get().keep_alive() &&
+           !state_->parser->get().need_eof() && state_->buf.size() == 0;
+}
+
+bool http_connection::quiet()
+{
+    if (state_->closed || state_->buf.size() > 0)
+    {
+        return false;
+    }
+    char byte = 0;
+    boost::system::error_code ec;
+    state_->stream.socket().non_blocking(true, ec);
+    state_->stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+    return ec == asio::error::would_block;
+}
+
+void http_connection::close()
+{
+    state_->closed = true;
+    boost::system::error_code ec;
+    state_->stream.socket().close(ec);
+}
+
+awaitable<result<std::string>> read_body(http_connection& connection, millis timeout,
+                                         std::size_t most)
+{
+    std::string body;
+    for (;;)
+    {
+        result<std::string> part = co_await connection.read_some(timeout);
+        if (!part)
+        {
+            co_return part.error();
+        }
+        if (part->empty())
+        {
+            co_return body;
+        }
+        body += *part;
+        if (body.size() > most)
+        {
+            co_return make_error_code(errc::too_large);
+        }
+    }
+}
+
+} // namespace endivestage::daemon
--- /dev/null
+++ b/endivestage/daemon/http_connection.hpp
@@ -0,0 +1,66 @@
+/// \file
+/// \brief A client connection that carries several HTTP/1.1 exchanges, one after another.
+#pragma once
+
+#include <endivestage/core.hpp>
+#include <endivestage/daemon/http_types.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <memory>
+#include <string>
+
+namespace endivestage::daemon
+{
+
+/// \brief A connection to one server.
+///
+/// Errors: errc::endpoint_unavailable when no connection could be made, so that nothing was sent;
+/// errc::outcome_unknown when it broke, or the time ran out, after a request may have been sent;
+/// errc::cancelled after \ref close. Not thread-safe; all calls run on the executor.
+class http_connection
+{
+public:
+    /// \param executor Executor of the coroutines that use this object.
+    explicit http_connection(boost::asio::any_io_executor executor);
+    /// \brief Closes the connection.
+    ~http_connection();
+    http_connection(const http_connection&) = delete;
+    http_connection& operator=(const http_connection&) = delete;
+
+    /// \brief Connects; sends nothing.
+    /// \param silence The connection is given up when sent bytes stay unacknowledged for so long.
+    awaitable<std::error_code> connect(network_address address, millis timeout, millis silence);
+
+    /// \brief Begins to send a request and returns at once. An answer may be read while the body is
+    /// still being sent, since a server may refuse a request before it has read it all.
+    void send(http_request request);
+
+    /// \brief Reads status and fields of the next answer.
+    awaitable<result<http_response>> read_head(millis timeout);
+
+    /// \brief Reads the next part of the answer's body.
+    /// \returns An empty string at the end of a complete body.
+    awaitable<result<std::string>> read_some(millis timeout);
+
+    /// \returns true when another request may be sent: the last one was sent whole, its answer was
+    /// read to the end, nothing follows it and the server keeps the connection open.
+    bool reusable() const;
+
+    /// \returns false when the server has closed the idle connection or sent bytes that no request
+    /// asked for.
+    bool quiet();
+
+    /// \brief Ends pending calls with errc::cancelled.
+    void close();
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+/// \brief Reads an answer's body to its end.
+/// \param most Larger bodies give errc::too_large.
+awaitable<result<std::string>> read_body(http_connection& connection, millis timeout,
+                                         std::size_t most);
+
+} // namespace endivestage::daemon
--- a/endivestage/daemon/http_server.cpp
+++ b/endivestage/daemon/http_server.cpp
@@ -1,4 +1,5 @@
 #include <endivestage/daemon/http_server.hpp>
+#include <endivestage/daemon/process_clock.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -10,6 +11,8 @@
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <exception>
+#include <mutex>
+#include <set>
 #include <utility>
 
 namespace endivestage::daemon
@@ -40,10 +43,13 @@
                                 public std::enable_shared_from_this<connection_writer>
 {
 public:
-    connection_writer(connection_stream& stream, millis write_timeout, bool keep_alive)
+    /// \param accepting Becomes false when connections must not be kept any longer.
+    connection_writer(connection_stream& stream, millis write_timeout, bool keep_alive,
+                      const std::atomic<bool>& accepting)
         : stream_(stream),
           write_timeout_(write_timeout),
-          keep_alive_(keep_alive)
+          keep_alive_(keep_alive),
+          accepting_(accepting)
     {
     }
 
@@ -114,13 +120,14 @@
 
 private:
     template <class Message>
-    void fill(Message& message, const http_response& response) const
+    void fill(Message& message, const http_response& response)
     {
+        keep_alive_ = keep_alive_ && accepting_;
         message.version(11);
         message.result(static_cast<unsigned>(response.status));
         for (const std::pair<std::string, std::string>& field : response.fields)
         {
-            message.set(field.first, field.second);
+            message.insert(field.first, field.second);
         }
         message.keep_alive(keep_alive_);
     }
@@ -156,6 +163,7 @@
     connection_stream& stream_;
     millis write_timeout_;
     bool keep_alive_;
+    const std::atomic<bool>& accepting_;
     bool complete_ = false;
     std::function<void()> caller_left_;
 };
@@ -173,6 +181,7 @@
     }
 
     void accept();
+    awaitable<bool> await_request(connection_stream& stream, beast::flat_buffer& buf);
     static awaitable<void> serve(std::shared_ptr<state> self, connection_stream stream);
     awaitable<bool> handle(connection_stream& stream, beast::flat_buffer& buf);
     awaitable<void> refuse(connection_stream& stream, int status, errc code) const;
@@ -187,6 +196,9 @@
     std::atomic<std::size_t> connections{0};
     std::atomic<std::size_t> requests{0};
     std::atomic<bool> accepting{true};
+    process_clock time;
+    std::mutex idle_mutex; ///< Guards idle and limits.
+    std::set<connection_stream*> idle;
 };
 
 void http_server::state::accept()
@@ -248,14 +260,59 @@
     co_await refuse(stream, large ? 413 : 400, large ? errc::too_large : errc::invalid_request);
 }
 
+// Waits for the first byte, so that a connection without a request can be told from one that is in
+// the middle of a request.
+awaitable<bool> http_server::state::await_request(connection_stream& stream,
+                                                  beast::flat_buffer& buf)
+{
+    if (buf.size() > 0)
+    {
+        co_return true;
+    }
+    {
+        const std::lock_guard<std::mutex> lock(idle_mutex);
+        idle.insert(&stream);
+        stream.expires_after(std::chrono::milliseconds(limits.idle.count));
+    }
+    constexpr std::size_t first_read_bytes = 4096;
+    boost::system::error_code ec;
+    const std::size_t n = co_await stream.async_read_some(
+        buf.prepare(first_read_bytes), asio::redirect_error(asio::use_awaitable, ec));
+    buf.commit(n);
+    const std::lock_guard<std::mutex> lock(idle_mutex);
+    idle.erase(&stream);
+    co_return !ec;
+}
+
 awaitable<bool> http_server::state::handle(connection_stream& stream, beast::flat_buffer& buf)
 {
+    if (!co_await await_request(stream, buf))
+    {
+        co_return false;
+    }
+    const time_point received = time.now();
     http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
-    parser.body_limit(limits.body_bytes);
+    http_limits in_force;
+    {
+        const std::lock_guard<std::mutex> lock(idle_mutex);
+        in_force = limits;
+    }
+    parser.header_limit(static_cast<std::uint32_t>(in_force.header_bytes));
+    parser.body_limit(in_force.body_bytes);
     boost::system::error_code ec;
-    stream.expires_after(std::chrono::milliseconds(limits.idle.count));
-    co_await http::async_read(stream, buf, parser, asio::redirect_error(asio::use_awaitable, ec));
+    stream.expires_after(std::chrono::milliseconds(in_force.request.count));
+    co_await http::async_read_header(stream, buf, parser,
+                                     asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec && beast::iequals(parser.get()[http::field::expect], "100-continue"))
+    {
+        http::response<http::empty_body> proceed(http::status::continue_, 11);
+        co_await http::async_write(stream, proceed, asio::redirect_error(asio::use_awaitable, ec));
+    }
+    if (!ec)
+    {
+        co_await http::async_read(stream, buf, parser,
+                                  asio::redirect_error(asio::use_awaitable, ec));
+    }
     if (ec)
     {
         co_await refuse_malformed(stream, ec);
@@ -264,6 +321,7 @@
     stream.expires_never();
     http::request<http::string_body> message = parser.release();
     http_request request;
+    request.received = received;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     for (const auto& field : message)
@@ -272,7 +330,7 @@
     }
     request.body = std::move(message.body());
     std::shared_ptr<connection_writer> writer = std::make_shared<connection_writer>(
-        stream, limits.write, message.keep_alive() && accepting);
+        stream, in_force.write, message.keep_alive(), accepting);
     requests.fetch_add(1);
     bool failed = false;
     try
@@ -359,7 +417,7 @@
 
 void http_server::stop_accepting()
 {
-    state_->accepting = false;
+    announce_close();
     std::shared_ptr<state> self = state_;
     asio::post(self->acceptor.get_executor(),
                [self]
@@ -369,6 +427,37 @@
                });
 }
 
+void http_server::set_limits(http_limits limits)
+{
+    const std::lock_guard<std::mutex> lock(state_->idle_mutex);
+    state_->limits = limits;
+}
+
+void http_server::announce_close()
+{
+    state_->accepting = false;
+}
+
+void http_server::close_idle()
+{
+    std::shared_ptr<state> self = state_;
+    const std::lock_guard<std::mutex> lock(self->idle_mutex);
+    for (connection_stream* stream : self->idle)
+    {
+        // A request may begin before the strand gets to this: look again there.
+        asio::post(stream->get_executor(),
+                   [self, stream]
+                   {
+                       const std::lock_guard<std::mutex> again(self->idle_mutex);
+                       if (self->idle.contains(stream))
+                       {
+                           boost::system::error_code ec;
+                           stream->socket().close(ec);
+                       }
+                   });
+    }
+}
+
 std::size_t http_server::active_requests() const
 {
     return state_->requests;
--- a/endivestage/daemon/http_server.hpp
+++ b/endivestage/daemon/http_server.hpp
@@ -53,7 +53,8 @@
     std::size_t header_bytes = 16384;
     std::size_t body_bytes = 4194304;
     std::size_t connections = 20000;
-    millis idle{75000};  ///< Time for a complete request to arrive.
+    millis idle{75000};  ///< Time for the first byte of a request to arrive.
+    millis request{75000}; ///< Time from its first byte for a complete request to arrive.
     millis write{30000}; ///< Time for a caller to take one chunk.
 };
 
@@ -78,6 +79,15 @@
     /// \brief Stops accepting; open connections finish their present request and are then closed.
     void stop_accepting();
 
+    /// \brief Replaces the limits for requests that arrive from now on.
+    void set_limits(http_limits limits);
+
+    /// \brief Answers from now on ask callers to close their connections.
+    void announce_close();
+
+    /// \brief Closes connections on which no request is being read or handled.
+    void close_idle();
+
     /// \returns The number of requests being handled.
     std::size_t active_requests() const;
 
--- a/endivestage/daemon/http_types.hpp
+++ b/endivestage/daemon/http_types.hpp
@@ -2,6 +2,7 @@
 /// \brief HTTP messages as plain values, so that only two translation units include Beast.
 #pragma once
 
+#include <endivestage/core/clock.hpp>
 #include <endivestage/daemon/network_address.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -31,6 +32,7 @@
     std::string target = "/"; ///< Path and query, still percent-encoded.
     http_fields fields;
     std::string body;
+    time_point received; ///< Server only: when the first byte of the request was read.
 };
 
 /// \brief A complete answer.
--- /dev/null
+++ b/endivestage/gateway/endpoint_pool.cpp
@@ -0,0 +1,72 @@
+#include <endivestage/gateway/endpoint_pool.hpp>
+
+#include <utility>
+
+namespace endivestage::gateway
+{
+
+endpoint_pool::connection endpoint_pool::take(const endpoint_id& endpoint, millis most_idle)
+{
+    const auto it = idle_.find(endpoint);
+    if (it == idle_.end())
+    {
+        return nullptr;
+    }
+    const time_point now = time_.now();
+    while (!it->second.empty())
+    {
+        entry last = std::move(it->second.back());
+        it->second.pop_back();
+        if (now - last.idle_since > most_idle)
+        {
+            // Those below it were idle for longer still.
+            it->second.clear();
+            return nullptr;
+        }
+        if (now < last.expires && last.kept->quiet())
+        {
+            return last.kept;
+        }
+    }
+    return nullptr;
+}
+
+void endpoint_pool::put(const endpoint_id& endpoint, connection kept, millis lifetime)
+{
+    const time_point now = time_.now();
+    if (lifetime <= close_margin)
+    {
+        return;
+    }
+    idle_[endpoint].push_back({std::move(kept), now, now + lifetime - close_margin});
+}
+
+void endpoint_pool::drop(const endpoint_id& endpoint)
+{
+    idle_.erase(endpoint);
+}
+
+void endpoint_pool::expire()
+{
+    const time_point now = time_.now();
+    for (auto it = idle_.begin(); it != idle_.end();)
+    {
+        while (!it->second.empty() && it->second.front().expires <= now)
+        {
+            it->second.pop_front();
+        }
+        it = it->second.empty() ? idle_.erase(it) : std::next(it);
+    }
+}
+
+std::size_t endpoint_pool::size() const
+{
+    std::size_t total = 0;
+    for (auto it = idle_.begin(); it != idle_.end(); ++it)
+    {
+        total += it->second.size();
+    }
+    return total;
+}
+
+} // namespace endivestage::gateway
--- /dev/null
+++ b/endivestage/gateway/event_framer.cpp
@@ -0,0 +1,112 @@
+#include <endivestage/gateway/event_framer.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace endivestage::gateway
+{
+
+namespace
+{
+
+std::optional<std::uint64_t> find_event_id(std::string_view event)
+{
+    std::size_t start = 0;
+    while (start < event.size())
+    {
+        const std::size_t end = std::min(event.find('\n', start), event.size());
+        std::string_view line = event.substr(start, end - start);
+        if (line.starts_with("id:"))
+        {
+            line.remove_prefix(3);
+            while (line.starts_with(' '))
+            {
+                line.remove_prefix(1);
+            }
+            std::uint64_t value = 0;
+            const std::from_chars_result parsed =
+                std::from_chars(line.data(), line.data() + line.size(), value);
+            if (parsed.ec == std::errc{})
+            {
+                return value;
+            }
+        }
+        start = end + 1;
+    }
+    return std::nullopt;
+}
+
+/// \returns The position after the first event; npos when there is no whole one.
+std::size_t find_event_end(std::string_view bytes)
+{
+    const std::size_t plain = bytes.find("\n\n");
+    const std::size_t crlf = bytes.find("\r\n\r\n");
+    if (plain == std::string_view::npos && crlf == std::string_view::npos)
+    {
+        return std::string_view::npos;
+    }
+    return plain < crlf ? plain + 2 : crlf + 4;
+}
+
+} // namespace
+
+bool event_framer::accept(std::string_view event)
+{
+    const std::optional<std::uint64_t> id = find_event_id(event);
+    if (resumed_ && id && last_event_)
+    {
+        if (*id <= *last_event_)
+        {
+            return false;
+        }
+        if (*id > *last_event_ + 1)
+        {
+            broken_ = true;
+            return false;
+        }
+    }
+    if (id)
+    {
+        last_event_ = id;
+    }
+    return true;
+}
+
+std::string event_framer::add(std::string_view bytes)
+{
+    buf_.append(bytes);
+    std::string whole;
+    std::size_t start = 0;
+    while (!broken_)
+    {
+        const std::string_view rest = std::string_view(buf_).substr(start);
+        const std::size_t length = find_event_end(rest);
+        if (length == std::string_view::npos)
+        {
+            break;
+        }
+        if (accept(rest.substr(0, length)))
+        {
+            whole.append(rest.substr(0, length));
+        }
+        start += length;
+    }
+    buf_.erase(0, start);
+    broken_ = broken_ || buf_.size() > max_event_bytes;
+    return whole;
+}
+
+std::string event_framer::take_rest()
+{
+    std::string rest;
+    rest.swap(buf_);
+    return rest;
+}
+
+void event_framer::restart()
+{
+    buf_.clear();
+    resumed_ = true;
+}
+
+} // namespace endivestage::gateway
--- /dev/null
+++ b/endivestage/gateway/exchange.cpp
@@ -0,0 +1,484 @@
+#include <endivestage/gateway/exchange.hpp>
+
+#include <endivestage/daemon/logging.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace endivestage::gateway
+{
+
+using daemon::awaitable;
+using daemon::log_event;
+using daemon::log_field;
+using daemon::log_level;
+
+namespace
+{
+
+/// A host answers a connection request within a few round trips or is away; the platform's zones
+/// are a millisecond apart.
+constexpr millis connect_timeout{250};
+/// Sent bytes that stay unacknowledged so long mean a host or a path that is gone.
+constexpr millis silence_timeout{700};
+/// Endpoints state how long they keep idle connections; without a statement this is assumed.
+constexpr millis assumed_idle_timeout{5000};
+/// A request that must not be repeated takes no connection that may have been dropped unnoticed.
+constexpr millis fresh_enough{1500};
+constexpr millis any_idle_time{60000};
+/// Answers of another request that are skipped on one connection.
+constexpr int most_foreign_answers = 3;
+constexpr std::size_t answer_limit_bytes = 16UL * 1024 * 1024;
+/// Another router can take the request at once.
+constexpr millis retry_elsewhere{50};
+/// Endpoints that turn requests away need some of their work to end first.
+constexpr millis retry_when_relieved{250};
+
+} // namespace
+
+exchange::exchange(boost::asio::any_io_executor executor, router_state& state,
+                   http_request request, caller_request decoded, daemon::response_writer& caller)
+    : executor_(std::move(executor)),
+      state_(state),
+      request_(std::move(request)),
+      decoded_(std::move(decoded)),
+      caller_(caller)
+{
+}
+
+millis exchange::time_left() const
+{
+    return end_ - state_.time.now();
+}
+
+awaitable<void> exchange::fail(int status, errc code, execution state,
+                               std::optional<millis> retry_after)
+{
+    answered_ = true;
+    http_response answer = state_.wire.encode_failure(status, code, state, retry_after);
+    log_end(to_string(code), status);
+    co_await caller_.send(std::move(answer));
+}
+
+void exchange::log_end(std::string_view result, int status) const
+{
+    const millis took = state_.time.now() - request_.received;
+    log_event(log_level::info, "request_answered",
+              {{"request", decoded_.id},
+               {"route", route_ != nullptr ? std::string_view(route_->name) : std::string_view("-")},
+               {"result", result},
+               {"status", status},
+               {"endpoint", last_endpoint_},
+               {"sends", history_.sends},
+               {"runs", history_.possible_runs},
+               {"config", routes_ ? routes_->version() : 0},
+               {"took_ms", took}});
+}
+
+awaitable<void> exchange::run()
+{
+    routes_ = state_.routes;
+    if (!routes_ || state_.serving == serving_state::starting)
+    {
+        co_await fail(503, errc::store_unavailable, execution::not_run, retry_elsewhere);
+        co_return;
+    }
+    route_ = routes_->find(decoded_.host, decoded_.path);
+    if (route_ == nullptr || route_->targets.empty())
+    {
+        co_await fail(404, errc::not_found, execution::not_run, std::nullopt);
+        co_return;
+    }
+    priority_ = route_->priority;
+    const bool keyed = routes_->requires_keys() && !route_->anonymous;
+    // What was withdrawn may be unknown here: without a current copy nothing is permitted.
+    if (!state_.lease.valid(state_.time.now()))
+    {
+        co_await fail(503, errc::store_unavailable, execution::not_run, retry_elsewhere);
+        co_return;
+    }
+    if (keyed)
+    {
+        const team_access* team = routes_->find_team(decoded_.key);
+        if (team == nullptr)
+        {
+            co_await fail(401, errc::unauthorized, execution::not_run, std::nullopt);
+            co_return;
+        }
+        team_ = team->name;
+        priority_ = team->priority.value_or(priority_);
+    }
+    end_ = request_.received + route_->timeout;
+    if (decoded_.deadline && *decoded_.deadline < route_->timeout)
+    {
+        end_ = request_.received + *decoded_.deadline;
+    }
+    else
+    {
+        late_for_route_ = true;
+    }
+    service_ = choose_target(*route_, decoded_.chat.value_or(hash64(decoded_.id.view())));
+    profile_ = routes_->find_service(service_);
+    std::weak_ptr<exchange> self = weak_from_this();
+    caller_.on_caller_left(
+        [self]
+        {
+            const std::shared_ptr<exchange> alive = self.lock();
+            if (alive)
+            {
+                alive->caller_left_ = true;
+                if (alive->connection_)
+                {
+                    alive->connection_->close();
+                }
+            }
+        });
+    co_await try_endpoints();
+}
+
+const endpoint_state* exchange::choose_endpoint()
+{
+    const time_point now = state_.time.now();
+    const std::vector<const endpoint_state*> available = state_.endpoints.available(service_);
+    choice_input input;
+    input.endpoints = available;
+    input.tried = tried_;
+    input.now = now;
+    input.routers = state_.routers.size();
+    input.chat = decoded_.chat;
+    input.random = state_.random.next();
+    for (const endpoint_state* endpoint : rank_endpoints(state_.endpoints, input, state_.choice))
+    {
+        if (!endpoint->cold(now) || profile_ == nullptr || profile_->cold_requests_per_s <= 0.0 ||
+            state_.cold.try_send(endpoint->record.id, state_.limit_of(*profile_), state_.routers,
+                                 now))
+        {
+            return endpoint;
+        }
+    }
+    return nullptr;
+}
+
+awaitable<void> exchange::try_endpoints()
+{
+    repeat_budget& budget = state_.budget(service_);
+    for (;;)
+    {
+        const endpoint_state* chosen = choose_endpoint();
+        if (chosen == nullptr)
+        {
+            co_await finish_undelivered(next_step::refuse, endpoint_outcome::shed);
+            co_return;
+        }
+        const endpoint_record to = chosen->record;
+        const std::uint32_t sends_before = history_.sends;
+        if (sends_before == 0)
+        {
+            budget.first_send(state_.time.now());
+        }
+        tried_.push_back(to.id);
+        last_endpoint_ = to.id;
+        state_.endpoints.started(to.id);
+        const endpoint_outcome outcome = co_await attempt(to);
+        const millis cold_period = profile_ != nullptr ? profile_->cold_period : millis{0};
+        if (caller_left_)
+        {
+            state_.endpoints.finished(to.id, endpoint_outcome::shed, state_.time.now(), millis{0});
+            log_end("caller_left", 0);
+            caller_.abort();
+            co_return;
+        }
+        state_.endpoints.finished(to.id, outcome, state_.time.now(), cold_period);
+        if (outcome == endpoint_outcome::served)
+        {
+            co_return;
+        }
+        log_event(log_level::info, "attempt_failed",
+                  {{"request", decoded_.id},
+                   {"endpoint", to.id},
+                   {"outcome", to_string(outcome)},
+                   {"reused", reused_},
+                   {"begun", history_.answer_begun},
+                   {"left_ms", time_left()}});
+        attempt_time time;
+        time.left = time_left();
+        time.objective = route_->objective;
+        next_step step = decide_next_step(*route_, outcome, history_, time);
+        if (step == next_step::try_another && history_.sends > 0 &&
+            !budget.try_repeat(state_.time.now(), state_.routers.size()))
+        {
+            log_event(log_level::info, "repeat_denied", {{"request", decoded_.id}});
+            step = outcome == endpoint_outcome::failed ? next_step::deliver
+                   : history_.possible_runs == 0 && !history_.answer_begun ? next_step::refuse
+                                                                           : next_step::fail;
+        }
+        if (step != next_step::try_another)
+        {
+            co_await finish_undelivered(step, outcome);
+            co_return;
+        }
+    }
+}
+
+awaitable<void> exchange::finish_undelivered(next_step step, endpoint_outcome outcome)
+{
+    if (history_.answer_begun)
+    {
+        log_end("stream_cut", 0);
+        caller_.abort();
+        co_return;
+    }
+    if (step == next_step::deliver)
+    {
+        answered_ = true;
+        http_response answer = state_.wire.encode_answer(answer_.head);
+        answer.body = std::move(body_);
+        log_end("endpoint_failed", answer.status);
+        co_await caller_.send(std::move(answer));
+        co_return;
+    }
+    if (step == next_step::refuse && history_.possible_runs == 0)
+    {
+        const bool none = outcome == endpoint_outcome::unreachable;
+        co_await fail(503, none ? errc::no_endpoint : errc::overloaded, execution::not_run,
+                      retry_when_relieved);
+        co_return;
+    }
+    const bool out_of_time = time_left() <= millis{5};
+    co_await fail(out_of_time ? 504 : 502,
+                  out_of_time ? errc::deadline_exceeded : errc::outcome_unknown, execution::unknown,
+                  std::nullopt);
+}
+
+awaitable<bool> exchange::open_connection(endpoint_record to)
+{
+    const bool once = route_->repeat == repeatability::at_most_once && !route_->streaming;
+    connection_ = state_.pool.take(to.id, once ? fresh_enough : any_idle_time);
+    reused_ = connection_ != nullptr;
+    if (reused_)
+    {
+        co_return true;
+    }
+    connection_ = std::make_shared<daemon::http_connection>(executor_);
+    daemon::network_address address;
+    address.host = to.host;
+    address.port = to.port;
+    const millis timeout = std::min(connect_timeout, time_left());
+    const std::error_code ec =
+        co_await connection_->connect(std::move(address), timeout, silence_timeout);
+    co_return !ec;
+}
+
+awaitable<endpoint_outcome> exchange::attempt(endpoint_record to)
+{
+    if (!co_await open_connection(to))
+    {
+        ++history_.connect_failures;
+        state_.pool.drop(to.id);
+        co_return endpoint_outcome::unreachable;
+    }
+    attempt_time time;
+    time.left = time_left();
+    time.objective = route_->objective;
+    if (caller_left_ || time.left <= millis{0})
+    {
+        co_return endpoint_outcome::shed;
+    }
+    dispatch what;
+    what.endpoint = to.id;
+    what.team = team_;
+    what.priority = priority_;
+    what.time_left = time.left;
+    what.last_event = framer_.last_event() ? framer_.last_event() : decoded_.last_event;
+    const millis wait = first_answer_wait(*route_, history_, time);
+    ++history_.sends;
+    connection_->send(state_.wire.encode_request(request_, what));
+    const endpoint_outcome outcome = co_await read_answer(to, wait);
+    if (outcome != endpoint_outcome::shed && outcome != endpoint_outcome::misdirected)
+    {
+        ++history_.possible_runs;
+    }
+    if (outcome != endpoint_outcome::broken)
+    {
+        keep_connection(to.id);
+    }
+    else
+    {
+        connection_->close();
+    }
+    connection_.reset();
+    co_return outcome;
+}
+
+void exchange::keep_connection(const endpoint_id& endpoint)
+{
+    if (connection_->reusable())
+    {
+        state_.pool.put(endpoint, connection_,
+                        answer_.meaning.idle_timeout.value_or(assumed_idle_timeout));
+    }
+    else
+    {
+        connection_->close();
+    }
+}
+
+awaitable<result<exchange::incoming>> exchange::read_own_head(millis wait)
+{
+    const time_point until = state_.time.now() + wait;
+    for (int n = 0; n <= most_foreign_answers; ++n)
+    {
+        result<http_response> head = co_await connection_->read_head(until - state_.time.now());
+        if (!head)
+        {
+            co_return head.error();
+        }
+        incoming answer;
+        answer.meaning = state_.wire.decode_answer(*head, decoded_.id);
+        answer.head = std::move(*head);
+        if (answer.meaning.belongs)
+        {
+            co_return answer;
+        }
+        log_event(log_level::warning, "foreign_answer",
+                  {{"request", decoded_.id},
+                   {"endpoint", last_endpoint_},
+                   {"status", answer.head.status}});
+        result<std::string> skipped = co_await daemon::read_body(
+            *connection_, until - state_.time.now(), answer_limit_bytes);
+        if (!skipped)
+        {
+            co_return skipped.error();
+        }
+    }
+    co_return make_error_code(errc::answer_mismatch);
+}
+
+void exchange::note_head(const endpoint_id& endpoint, const answer_head& meaning)
+{
+    const time_point now = state_.time.now();
+    if (meaning.load)
+    {
+        state_.endpoints.report_load(endpoint, *meaning.load, now);
+    }
+    if (meaning.cold_left && *meaning.cold_left > millis{0})
+    {
+        state_.endpoints.report_cold(endpoint, *meaning.cold_left, now);
+    }
+}
+
+awaitable<endpoint_outcome> exchange::read_answer(endpoint_record from, millis wait)
+{
+    const time_point first_until = state_.time.now() + wait;
+    result<incoming> answer = co_await read_own_head(wait);
+    if (!answer)
+    {
+        co_return endpoint_outcome::broken;
+    }
+    note_head(from.id, answer->meaning);
+    if (!answer->meaning.success || !answer->meaning.events)
+    {
+        answer_ = std::move(*answer);
+        co_return co_await pass_body();
+    }
+    if (!history_.answer_begun)
+    {
+        // A stream that continues keeps the head of its first engine.
+        answer_ = std::move(*answer);
+    }
+    framer_.restart();
+    co_return co_await pass_events(first_until - state_.time.now());
+}
+
+awaitable<endpoint_outcome> exchange::pass_body()
+{
+    result<std::string> body =
+        co_await daemon::read_body(*connection_, time_left(), answer_limit_bytes);
+    const answer_head& meaning = answer_.meaning;
+    if (meaning.misdirected)
+    {
+        co_return endpoint_outcome::misdirected;
+    }
+    if (meaning.not_executed)
+    {
+        co_return endpoint_outcome::shed;
+    }
+    if (!body)
+    {
+        co_return endpoint_outcome::broken;
+    }
+    body_ = std::move(*body);
+    if (answer_.head.status >= 500)
+    {
+        co_return endpoint_outcome::failed;
+    }
+    if (history_.answer_begun || !meaning.genuine)
+    {
+        co_return endpoint_outcome::broken;
+    }
+    answered_ = true;
+    http_response complete = state_.wire.encode_answer(answer_.head);
+    complete.body = std::move(body_);
+    log_end("served", complete.status);
+    co_await caller_.send(std::move(complete));
+    co_return endpoint_outcome::served;
+}
+
+awaitable<bool> exchange::deliver_events(std::string events)
+{
+    if (!history_.answer_begun)
+    {
+        history_.answer_begun = true;
+        http_response head = state_.wire.encode_answer(answer_.head);
+        const std::error_code ec = co_await caller_.begin(std::move(head));
+        if (ec)
+        {
+            co_return false;
+        }
+    }
+    const std::error_code ec = co_await caller_.write(events);
+    co_return !ec;
+}
+
+awaitable<endpoint_outcome> exchange::pass_events(millis first_wait)
+{
+    bool first = true;
+    for (;;)
+    {
+        const millis wait = first ? std::min(first_wait, time_left()) : time_left();
+        result<std::string> part = co_await connection_->read_some(wait);
+        if (!part)
+        {
+            co_return endpoint_outcome::broken;
+        }
+        const bool end = part->empty();
+        std::string events = end ? framer_.take_rest() : framer_.add(*part);
+        if (framer_.broken())
+        {
+            co_return endpoint_outcome::broken;
+        }
+        if (!events.empty())
+        {
+            first = false;
+            const bool delivered = co_await deliver_events(std::move(events));
+            if (!delivered)
+            {
+                caller_left_ = true;
+                co_return endpoint_outcome::broken;
+            }
+        }
+        if (end)
+        {
+            if (!history_.answer_begun)
+            {
+                co_return endpoint_outcome::broken;
+            }
+            answered_ = true;
+            log_end("served", answer_.head.status);
+            co_await caller_.end();
+            co_return endpoint_outcome::served;
+        }
+    }
+}
+
+} // namespace endivestage::gateway
--- /dev/null
+++ b/endivestage/gateway/peer_service.cpp
@@ -0,0 +1,254 @@
+#include <endivestage/gateway/peer_service.hpp>
+
+#include <endivestage/daemon/json_access.hpp>
+#include <endivestage/daemon/logging.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace endivestage::gateway
+{
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using udp = asio::ip::udp;
+using daemon::log_event;
+using daemon::log_level;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds tick_period{50};
+/// A dead router may still run behind a cut: it keeps its part of shared limits for this long.
+constexpr millis dead_keeps_share{15000};
+
+/// A dead router must leave address answers within about six seconds of its end; detection takes
+/// about one period, a timeout and the suspicion.
+swim_config detector_config()
+{
+    swim_config config;
+    config.period = millis{400};
+    config.timeout = millis{150};
+    config.suspicion_periods = 1.0;
+    config.hold_down = millis{0};
+    return config;
+}
+
+} // namespace
+
+peer_service::peer_service(asio::io_context& context, const clock& time, member self, double weight)
+    : context_(context),
+      time_(time),
+      random_(hash64(self.id.view(), self.incarnation)),
+      weight_(weight),
+      detector_(detector_config(), std::move(self), random_),
+      socket_(context),
+      timer_(context)
+{
+}
+
+std::error_code peer_service::start()
+{
+    boost::system::error_code ec;
+    const asio::ip::address ip = asio::ip::make_address(detector_.self().host, ec);
+    if (!ec)
+    {
+        socket_.open(ip.is_v6() ? udp::v6() : udp::v4(), ec);
+    }
+    if (!ec)
+    {
+        socket_.bind(udp::endpoint(ip, detector_.self().udp_port), ec);
+    }
+    if (ec)
+    {
+        return {ec.value(), std::system_category()};
+    }
+    socket_.non_blocking(true, ec);
+    receive();
+    tick();
+    return {};
+}
+
+void peer_service::receive()
+{
+    socket_.async_receive_from(
+        asio::buffer(buf_), sender_,
+        [this](const boost::system::error_code& ec, std::size_t n)
+        {
+            if (ec == asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!ec)
+            {
+                const result<packet> content = decode_packet(std::string_view(buf_.data(), n));
+                if (content)
+                {
+                    carry_out(detector_.receive(*content, time_.now()));
+                }
+            }
+            receive();
+        });
+}
+
+void peer_service::tick()
+{
+    carry_out(detector_.tick(time_.now()));
+    timer_.expires_after(tick_period);
+    timer_.async_wait(
+        [this](const boost::system::error_code& ec)
+        {
+            if (!ec)
+            {
+                tick();
+            }
+        });
+}
+
+void peer_service::carry_out(const membership_actions& actions)
+{
+    for (const membership_action& action : actions)
+    {
+        if (const send_packet* send = std::get_if<send_packet>(&action))
+        {
+            boost::system::error_code ec;
+            const asio::ip::address ip = asio::ip::make_address(send->to.host, ec);
+            if (ec)
+            {
+                continue;
+            }
+            const std::string text = encode_packet(send->content);
+            // A datagram that cannot be sent now is lost like any other.
+            socket_.send_to(asio::buffer(text), udp::endpoint(ip, send->to.udp_port), 0, ec);
+            bytes_sent_ += text.size();
+        }
+        else if (const member_changed* changed = std::get_if<member_changed>(&action))
+        {
+            const auto it = routers_.find(changed->who.id);
+            if (it != routers_.end())
+            {
+                it->second.dead_since =
+                    changed->state == member_state::dead ? time_.now() : time_point{-1};
+            }
+            log_event(log_level::info, "router_state",
+                      {{"router", changed->who.id},
+                       {"state", to_string(changed->state)},
+                       {"leaving", changed->who.leaving}});
+            if (changed_)
+            {
+                changed_();
+            }
+        }
+    }
+}
+
+void peer_service::update(std::span<const replicated_row> rows)
+{
+    for (const replicated_row& row : rows)
+    {
+        const router_id id(row.key);
+        if (row.deleted)
+        {
+            routers_.erase(id);
+            continue;
+        }
+        const result<json::object> fields = daemon::parse_json_object(row.data);
+        if (!fields)
+        {
+            log_event(log_level::warning, "row_unreadable", {{"table", "routers"}, {"key", row.key}});
+            continue;
+        }
+        known_router known;
+        known.who.id = id;
+        known.who.zone = zone_id(daemon::get_text(*fields, "zone"));
+        known.who.host = daemon::get_text(*fields, "host");
+        known.who.port = static_cast<std::uint16_t>(daemon::get_unsigned(*fields, "port"));
+        known.who.udp_port = known.who.port;
+        known.who.incarnation = daemon::get_unsigned(*fields, "incarnation");
+        known.weight = daemon::get_real(*fields, "weight", 1.0);
+        if (known.who.host.empty() || known.who.port == 0)
+        {
+            log_event(log_level::warning, "row_unreadable", {{"table", "routers"}, {"key", row.key}});
+            continue;
+        }
+        routers_[id] = std::move(known);
+    }
+    refresh_candidates();
+}
+
+void peer_service::refresh_candidates()
+{
+    std::vector<host_candidate> hosts;
+    hosts.reserve(routers_.size());
+    for (auto it = routers_.begin(); it != routers_.end(); ++it)
+    {
+        hosts.push_back({it->second.who});
+    }
+    carry_out(detector_.set_candidates(hosts, time_.now()));
+    if (changed_)
+    {
+        changed_();
+    }
+}
+
+void peer_service::leave()
+{
+    detector_.leave();
+}
+
+std::vector<relay_address> peer_service::live() const
+{
+    std::vector<relay_address> found;
+    for (auto it = routers_.begin(); it != routers_.end(); ++it)
+    {
+        const std::optional<member_update> belief = detector_.find(it->first);
+        if (!belief || belief->state == member_state::dead || belief->who.leaving ||
+            it->first == detector_.self().id)
+        {
+            continue;
+        }
+        relay_address relay;
+        relay.who.id = it->first;
+        relay.who.zone = it->second.who.zone;
+        relay.who.weight = it->second.weight;
+        relay.address = {belief->who.host, belief->who.port};
+        found.push_back(std::move(relay));
+    }
+    return found;
+}
+
+std::vector<router_id> peer_service::possible() const
+{
+    std::vector<router_id> found{detector_.self().id};
+    const time_point now = time_.now();
+    for (auto it = routers_.begin(); it != routers_.end(); ++it)
+    {
+        const time_point dead = it->second.dead_since;
+        if (it->first != detector_.self().id &&
+            (dead < time_point{0} || now - dead < dead_keeps_share))
+        {
+            found.push_back(it->first);
+        }
+    }
+    return found;
+}
+
+std::uint64_t peer_service::incarnation(const replicated_row& row)
+{
+    const result<json::object> fields = daemon::parse_json_object(row.data);
+    return fields ? daemon::get_unsigned(*fields, "incarnation") : 0;
+}
+
+std::string peer_service::own_row() const
+{
+    const member& self = detector_.self();
+    json::object row;
+    row["zone"] = self.zone.str();
+    row["host"] = self.host;
+    row["port"] = self.port;
+    row["incarnation"] = self.incarnation;
+    row["weight"] = weight_;
+    return json::serialize(row);
+}
+
+} // namespace endivestage::gateway
--- /dev/null
+++ b/endivestage/gateway/replication_service.cpp
@@ -0,0 +1,438 @@
+#include <endivestage/gateway/replication_service.hpp>
+
+#include <endivestage/daemon/json_access.hpp>
+#include <endivestage/daemon/logging.hpp>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+namespace endivestage::gateway
+{
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using daemon::awaitable;
+using daemon::http_request;
+using daemon::http_response;
+using daemon::log_event;
+using daemon::log_level;
+
+namespace
+{
+
+/// Bounds the age of the operator's table at a relay; two such waits stay below
+/// source_choice_config::stale_after.
+constexpr millis operations_wait{700};
+constexpr millis endpoints_wait{1500};
+constexpr millis routers_wait{10000};
+/// Records of endpoints change often; a pause lets several changes share one call.
+constexpr millis endpoints_pause{150};
+constexpr millis relay_wait{350};
+constexpr millis relay_timeout{900};
+constexpr millis relay_silence{800};
+/// Pause after the table service failed, and the most that repeated failures lengthen it to.
+constexpr millis first_retry{120};
+constexpr millis longest_retry{500};
+/// Without an answer for this long the service was away, and records may have lapsed meanwhile.
+constexpr millis outage_after{2500};
+/// Records that lapsed during an outage are written again within this time.
+constexpr millis settling_time{2500};
+constexpr millis idle_poll{50};
+constexpr std::size_t relay_answer_limit = 16UL * 1024 * 1024;
+
+millis wait_of(shared_table table)
+{
+    switch (table)
+    {
+    case shared_table::operations:
+        return operations_wait;
+    case shared_table::endpoints:
+        return endpoints_wait;
+    case shared_table::routers:
+        break;
+    }
+    return routers_wait;
+}
+
+std::uint64_t parse_revision(std::string_view text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+json::object encode_batch(shared_table table, const change_batch& batch, bool settling)
+{
+    json::array rows;
+    for (const replicated_row& row : batch.rows)
+    {
+        json::object entry;
+        entry["key"] = row.key;
+        entry["revision"] = row.revision;
+        if (row.deleted)
+        {
+            entry["deleted"] = true;
+        }
+        else
+        {
+            entry["data"] = row.data;
+        }
+        rows.push_back(std::move(entry));
+    }
+    json::object encoded;
+    encoded["table"] = to_string(table);
+    encoded["revision"] = batch.revision;
+    encoded["complete"] = batch.complete;
+    encoded["settling"] = settling;
+    encoded["rows"] = std::move(rows);
+    return encoded;
+}
+
+change_batch decode_batch(const json::object& encoded)
+{
+    change_batch batch;
+    batch.revision = daemon::get_unsigned(encoded, "revision");
+    batch.complete = daemon::get_flag(encoded, "complete");
+    for (const json::value& entry : daemon::get_array(encoded, "rows"))
+    {
+        if (!entry.is_object())
+        {
+            continue;
+        }
+        replicated_row row;
+        row.key = daemon::get_text(entry.get_object(), "key");
+        row.data = daemon::get_text(entry.get_object(), "data");
+        row.revision = daemon::get_unsigned(entry.get_object(), "revision");
+        row.deleted = daemon::get_flag(entry.get_object(), "deleted");
+        batch.rows.push_back(std::move(row));
+    }
+    return batch;
+}
+
+} // namespace
+
+std::string_view to_string(shared_table table)
+{
+    switch (table)
+    {
+    case shared_table::operations:
+        return "operations";
+    case shared_table::endpoints:
+        return "endpoints";
+    case shared_table::routers:
+        break;
+    }
+    return "routers";
+}
+
+replication_service::replication_service(asio::io_context& context, const clock& time,
+                                         table_source& source, source_choice choice,
+                                         replication_callbacks callbacks)
+    : context_(context),
+      time_(time),
+      source_(source),
+      choice_(std::move(choice)),
+      callbacks_(std::move(callbacks))
+{
+    for (const shared_table table : shared_tables)
+    {
+        replicas_.emplace(table, table_replica{});
+        services_.emplace(table, service_state{});
+    }
+}
+
+void replication_service::start()
+{
+    for (const shared_table table : shared_tables)
+    {
+        asio::co_spawn(context_, follow_service(table), asio::detached);
+    }
+    asio::co_spawn(context_, follow_relays(), asio::detached);
+}
+
+bool replication_service::complete() const
+{
+    return std::all_of(shared_tables.begin(), shared_tables.end(),
+                       [this](shared_table table)
+                       { return replicas_.at(table).revision().has_value(); });
+}
+
+std::optional<millis> replication_service::age() const
+{
+    return freshness_.age(time_.now());
+}
+
+awaitable<void> replication_service::sleep(millis time)
+{
+    asio::steady_timer timer(context_, std::chrono::milliseconds(time.count));
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+awaitable<void> replication_service::wait_for_change(millis time)
+{
+    asio::steady_timer timer(context_, std::chrono::milliseconds(time.count));
+    waiters_.insert(&timer);
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    waiters_.erase(&timer);
+}
+
+void replication_service::renew(time_point instant)
+{
+    freshness_.renew(instant);
+    callbacks_.current_at(instant);
+}
+
+bool replication_service::settling(shared_table table) const
+{
+    return time_.now() < services_.at(table).settled_at;
+}
+
+void replication_service::apply(shared_table table, const change_batch& batch, bool settling)
+{
+    const std::vector<replicated_row> changed = replicas_.at(table).apply(batch);
+    if (changed.empty())
+    {
+        return;
+    }
+    callbacks_.changed(table, changed, settling);
+    for (asio::steady_timer* waiter : waiters_)
+    {
+        waiter->cancel();
+    }
+}
+
+void replication_service::note_service(shared_table table, std::error_code ec)
+{
+    service_state& state = services_.at(table);
+    const time_point now = time_.now();
+    if (ec)
+    {
+        ++state.failures;
+        if (state.reached)
+        {
+            state.reached = false;
+            log_event(log_level::warning, "table_service_lost", {{"table", to_string(table)}, ec});
+        }
+        return;
+    }
+    if (!state.reached)
+    {
+        if (state.last_success >= time_point{0} && now - state.last_success > outage_after)
+        {
+            state.settled_at = now + settling_time;
+        }
+        log_event(log_level::info, "table_service_reached",
+                  {{"table", to_string(table)}, {"failures", state.failures}});
+    }
+    state.reached = true;
+    state.failures = 0;
+    state.last_success = now;
+}
+
+awaitable<millis> replication_service::poll_service(shared_table table)
+{
+    const std::optional<std::uint64_t> known = replicas_.at(table).revision();
+    const time_point sent = time_.now();
+    ++store_calls_;
+    result<timed_batch> answer = make_error_code(errc::stale_view);
+    // After an outage a list shows at once what a feed would tell row by row.
+    if (known)
+    {
+        answer = co_await source_.changes(table, *known, wait_of(table));
+    }
+    if (!answer && answer.error() == errc::stale_view)
+    {
+        answer = co_await source_.list(table);
+    }
+    note_service(table, answer ? std::error_code{} : answer.error());
+    if (!answer)
+    {
+        const std::int64_t failures = services_.at(table).failures;
+        co_return std::min(longest_retry, first_retry * std::min<std::int64_t>(failures, 8));
+    }
+    service_clock_.observe(sent, answer->stamp);
+    const bool older = known && answer->batch.revision < *known;
+    const bool changed = !answer->batch.rows.empty();
+    apply(table, answer->batch, settling(table));
+    if (table == shared_table::operations && !older)
+    {
+        renew(std::max(sent, service_clock_.earliest_local(answer->stamp).value_or(sent)));
+    }
+    co_return table == shared_table::endpoints && changed ? endpoints_pause : millis{0};
+}
+
+awaitable<void> replication_service::follow_service(shared_table table)
+{
+    for (;;)
+    {
+        millis pause = idle_poll;
+        if (direct_ || !replicas_.at(table).revision())
+        {
+            pause = co_await poll_service(table);
+        }
+        if (pause > millis{0})
+        {
+            co_await sleep(pause);
+        }
+    }
+}
+
+awaitable<void> replication_service::follow_relays()
+{
+    for (;;)
+    {
+        const std::vector<relay_address> live = callbacks_.live();
+        std::vector<relay_candidate> candidates;
+        for (const relay_address& relay : live)
+        {
+            candidates.push_back(relay.who);
+        }
+        const change_source source = choice_.choose(candidates, age(), time_.now());
+        const bool direct = !source.relay || !complete();
+        if (direct != direct_)
+        {
+            log_event(log_level::info, "source_changed",
+                      {{"source", direct ? std::string("table_service") : source.relay->str()},
+                       {"age_ms", age().value_or(millis{-1})}});
+        }
+        direct_ = direct;
+        if (direct)
+        {
+            co_await sleep(idle_poll * 2);
+            continue;
+        }
+        const auto it = std::find_if(live.begin(), live.end(), [&](const relay_address& relay)
+                                     { return relay.who.id == *source.relay; });
+        relay_address chosen = *it;
+        co_await ask_relay(std::move(chosen));
+    }
+}
+
+awaitable<void> replication_service::ask_relay(relay_address relay)
+{
+    if (relay_id_ != relay.who.id || !relay_ || !relay_->reusable())
+    {
+        relay_ = std::make_shared<daemon::http_connection>(context_.get_executor());
+        relay_id_ = relay.who.id;
+        const std::error_code ec =
+            co_await relay_->connect(relay.address, relay_timeout, relay_silence);
+        if (ec)
+        {
+            choice_.failed(relay.who.id, time_.now());
+            log_event(log_level::info, "relay_failed", {{"router", relay.who.id}, ec});
+            relay_.reset();
+            co_return;
+        }
+    }
+    http_request request;
+    request.target = "/v1/tables?wait_ms=" + std::to_string(relay_wait.count);
+    for (const shared_table table : shared_tables)
+    {
+        request.target += "&" + std::string(to_string(table)) + "=" +
+                          std::to_string(replicas_.at(table).revision().value_or(0));
+    }
+    request.fields.emplace_back("Host", daemon::to_string(relay.address));
+    const time_point asked = time_.now();
+    relay_->send(std::move(request));
+    result<http_response> head = co_await relay_->read_head(relay_timeout);
+    std::error_code ec = head ? std::error_code{} : head.error();
+    if (!ec && head->status == 200)
+    {
+        result<std::string> body =
+            co_await daemon::read_body(*relay_, relay_timeout, relay_answer_limit);
+        ec = body ? take_peer_answer(*body, asked) : body.error();
+    }
+    else if (!ec)
+    {
+        ec = make_error_code(errc::peer_unavailable);
+    }
+    if (ec)
+    {
+        choice_.failed(relay.who.id, time_.now());
+        log_event(log_level::info, "relay_failed", {{"router", relay.who.id}, ec});
+        relay_.reset();
+    }
+}
+
+std::error_code replication_service::take_peer_answer(std::string_view body, time_point asked)
+{
+    result<json::object> answer = daemon::parse_json_object(body);
+    if (!answer)
+    {
+        return answer.error();
+    }
+    bool older = false;
+    for (const json::value& entry : daemon::get_array(*answer, "tables"))
+    {
+        if (!entry.is_object())
+        {
+            return make_error_code(errc::invalid_request);
+        }
+        const json::object& encoded = entry.get_object();
+        const std::string name = daemon::get_text(encoded, "table");
+        for (const shared_table table : shared_tables)
+        {
+            if (name == to_string(table))
+            {
+                const change_batch batch = decode_batch(encoded);
+                older = older || (table == shared_table::operations &&
+                                  batch.revision < replicas_.at(table).revision().value_or(0));
+                apply(table, batch, daemon::get_flag(encoded, "settling"));
+            }
+        }
+    }
+    const std::int64_t age_ms = daemon::get_number(*answer, "age_ms", -1);
+    if (age_ms < 0 || older)
+    {
+        return make_error_code(errc::stale_view);
+    }
+    // The relay stated the age after it was asked, so this is no later than the true instant.
+    renew(asked - millis{age_ms});
+    return {};
+}
+
+awaitable<http_response> replication_service::answer_peer(http_request request)
+{
+    http_response answer;
+    daemon::http_target target;
+    if (!daemon::parse_target(request.target, target) || !complete())
+    {
+        answer.status = 503;
+        co_return answer;
+    }
+    const millis wait{static_cast<std::int64_t>(
+        std::min<std::uint64_t>(parse_revision(target.parameter("wait_ms")), 1000))};
+    const time_point until = time_.now() + wait;
+    for (;;)
+    {
+        bool any = false;
+        json::array tables;
+        for (const shared_table table : shared_tables)
+        {
+            const std::uint64_t since = parse_revision(target.parameter(to_string(table)));
+            const change_batch batch = replicas_.at(table).changes_since(since);
+            any = any || !batch.rows.empty();
+            tables.push_back(encode_batch(table, batch, settling(table)));
+        }
+        const time_point now = time_.now();
+        if (any || now >= until)
+        {
+            json::object body;
+            body["age_ms"] = age().value_or(millis{-1}).count;
+            body["tables"] = std::move(tables);
+            answer.body = json::serialize(body);
+            co_return answer;
+        }
+        co_await wait_for_change(until - now);
+    }
+}
+
+} // namespace endivestage::gateway
--- /dev/null
+++ b/endivestage/gateway/replication_service.hpp
@@ -0,0 +1,102 @@
+/// \file
+/// \brief Keeps the copies of the shared tables up to date and serves them to other routers.
+#pragma once
+
+#include <endivestage/daemon/http_connection.hpp>
+#include <endivestage/daemon/http_server.hpp>
+#include <endivestage/gateway/table_source.hpp>
+#include <endivestage/routing.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <span>
+#include <vector>
+
+namespace endivestage::gateway
+{
+
+/// \brief A peer that may relay, with its address.
+struct relay_address
+{
+    relay_candidate who;
+    daemon::network_address address;
+};
+
+/// \brief What the service calls.
+struct replication_callbacks
+{
+    /// Rows changed. \p settling: the table was out of reach until shortly before.
+    std::function<void(shared_table, std::span<const replicated_row>, bool settling)> changed;
+    /// The copy of the operator's table was current at this local instant.
+    std::function<void(time_point)> current_at;
+    /// The routers that are believed alive.
+    std::function<std::vector<relay_address>()> live;
+};
+
+/// \brief Follows the table service, or a relay, for all shared tables.
+class replication_service
+{
+public:
+    /// \param time,source Must outlive the io_context's run.
+    replication_service(boost::asio::io_context& context, const clock& time, table_source& source,
+                        source_choice choice, replication_callbacks callbacks);
+
+    /// \brief Starts the coroutines.
+    void start();
+
+    /// \returns Whether all tables were read at least once.
+    bool complete() const;
+
+    /// \brief Answers a peer: changes after the revisions it names, as soon as there are any.
+    daemon::awaitable<daemon::http_response> answer_peer(daemon::http_request request);
+
+    /// \returns Age of the copy of the operator's table.
+    std::optional<millis> age() const;
+
+    std::uint64_t store_calls() const { return store_calls_; }
+    bool direct() const { return direct_; }
+
+    const table_replica& replica(shared_table table) const { return replicas_.at(table); }
+
+private:
+    daemon::awaitable<void> follow_service(shared_table table);
+    daemon::awaitable<millis> poll_service(shared_table table);
+    daemon::awaitable<void> follow_relays();
+    daemon::awaitable<void> ask_relay(relay_address relay);
+    std::error_code take_peer_answer(std::string_view body, time_point asked);
+    void apply(shared_table table, const change_batch& batch, bool settling);
+    void note_service(shared_table table, std::error_code ec);
+    void renew(time_point instant);
+    daemon::awaitable<void> sleep(millis time);
+    daemon::awaitable<void> wait_for_change(millis time);
+    bool settling(shared_table table) const;
+
+    struct service_state
+    {
+        bool reached = false;        ///< The last call succeeded.
+        std::int64_t failures = 0;   ///< In a row.
+        time_point last_success{-1};
+        time_point settled_at{-1};   ///< Deletions before this may be lapses of an outage.
+    };
+
+    boost::asio::io_context& context_;
+    const clock& time_;
+    table_source& source_;
+    source_choice choice_;
+    replication_callbacks callbacks_;
+    std::map<shared_table, table_replica> replicas_;
+    std::map<shared_table, service_state> services_;
+    remote_clock service_clock_;
+    knowledge_lease freshness_{millis{0}};
+    std::set<boost::asio::steady_timer*> waiters_;
+    std::shared_ptr<daemon::http_connection> relay_;
+    router_id relay_id_;
+    bool direct_ = true;
+    std::uint64_t store_calls_ = 0;
+};
+
+} // namespace endivestage::gateway
--- /dev/null
+++ b/endivestage/gateway/request_proxy.cpp
@@ -0,0 +1,30 @@
+#include <endivestage/gateway/request_proxy.hpp>
+
+#include <endivestage/daemon/logging.hpp>
+#include <endivestage/gateway/exchange.hpp>
+
+#include <utility>
+
+namespace endivestage::gateway
+{
+
+daemon::awaitable<void> request_proxy::serve(http_request request, daemon::response_writer& caller)
+{
+    result<caller_request> decoded = state_.wire.decode_request(request);
+    if (!decoded)
+    {
+        daemon::log_event(daemon::log_level::info, "request_refused",
+                          {{"reason", "malformed"}, {"target", request.target}});
+        http_response answer = state_.wire.encode_failure(400, errc::invalid_request,
+                                                          execution::not_run, std::nullopt);
+        co_await caller.send(std::move(answer));
+        co_return;
+    }
+    ++state_.open_requests;
+    std::shared_ptr<exchange> work = std::make_shared<exchange>(
+        executor_, state_, std::move(request), std::move(*decoded), caller);
+    co_await work->run();
+    --state_.open_requests;
+}
+
+} // namespace endivestage::gateway
--- /dev/null
+++ b/endivestage/gateway/request_proxy.hpp
@@ -0,0 +1,32 @@
+/// \file
+/// \brief Takes callers' requests to endpoints and answers back.
+#pragma once
+
+#include <endivestage/daemon/http_server.hpp>
+#include <endivestage/gateway/router_state.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+
+namespace endivestage::gateway
+{
+
+/// \brief Serves requests of callers. All state is in \ref router_state.
+class request_proxy
+{
+public:
+    /// \param state Must outlive the proxy.
+    request_proxy(boost::asio::any_io_executor executor, router_state& state)
+        : executor_(std::move(executor)),
+          state_(state)
+    {
+    }
+
+    /// \brief Answers one request.
+    daemon::awaitable<void> serve(http_request request, daemon::response_writer& caller);
+
+private:
+    boost::asio::any_io_executor executor_;
+    router_state& state_;
+};
+
+} // namespace endivestage::gateway
--- /dev/null
+++ b/endivestage/gateway/run_gateway.cpp
@@ -0,0 +1,162 @@
+#include <endivestage/gateway/server.hpp>
+
+#include <endivestage/daemon/commands.hpp>
+#include <endivestage/daemon/logging.hpp>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <iterator>
+#include <optional>
+
+namespace endivestage::gateway
+{
+
+namespace asio = boost::asio;
+using daemon::log_event;
+using daemon::log_level;
+
+namespace
+{
+
+/// Platforms may replace the file without a signal.
+constexpr std::chrono::milliseconds file_check_period{1000};
+
+std::optional<std::string> read_file(const std::string& name)
+{
+    std::ifstream file(name, std::ios::binary);
+    if (!file)
+    {
+        return std::nullopt;
+    }
+    return std::string(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
+}
+
+void log_faults(const std::vector<settings_fault>& faults)
+{
+    for (const settings_fault& fault : faults)
+    {
+        log_event(log_level::error, "settings_fault",
+                  {{"key", fault.key}, {"reason", fault.reason}, make_error_code(fault.code)});
+    }
+}
+
+/// Re-reads the settings file when it changes; faulty settings leave the old ones in force.
+class settings_watch
+{
+public:
+    settings_watch(asio::io_context& context, std::string name, std::string content, server& target)
+        : timer_(context),
+          name_(std::move(name)),
+          content_(std::move(content)),
+          target_(target)
+    {
+    }
+
+    void start()
+    {
+        timer_.expires_after(file_check_period);
+        timer_.async_wait(
+            [this](const boost::system::error_code& ec)
+            {
+                if (!ec)
+                {
+                    check();
+                    start();
+                }
+            });
+    }
+
+    void check()
+    {
+        const std::optional<std::string> content = read_file(name_);
+        if (!content || *content == content_)
+        {
+            return;
+        }
+        content_ = *content;
+        const settings_outcome outcome = parse_gateway_settings(content_);
+        if (!outcome.faults.empty())
+        {
+            log_faults(outcome.faults);
+            log_event(log_level::error, "settings_kept");
+            return;
+        }
+        target_.reload(outcome.settings);
+    }
+
+private:
+    asio::steady_timer timer_;
+    std::string name_;
+    std::string content_;
+    server& target_;
+};
+
+void await_reload(asio::signal_set& signals, settings_watch& watch)
+{
+    signals.async_wait(
+        [&signals, &watch](const boost::system::error_code& ec, int)
+        {
+            if (!ec)
+            {
+                watch.check();
+                await_reload(signals, watch);
+            }
+        });
+}
+
+} // namespace
+
+int run_gateway(
+    const std::string& settings_file,
+    const std::function<platform_ports(asio::io_context&, const gateway_settings&)>& make_ports)
+{
+    daemon::log_options options;
+    const std::optional<std::string> content = read_file(settings_file);
+    if (!content)
+    {
+        daemon::start_logging(options);
+        log_event(log_level::error, "settings_missing", {{"file", settings_file}});
+        return daemon::exit_settings;
+    }
+    const settings_outcome outcome = parse_gateway_settings(*content);
+    options.host = outcome.settings.name.str();
+    options.zone = outcome.settings.zone.str();
+    daemon::start_logging(options);
+    if (!outcome.faults.empty())
+    {
+        log_faults(outcome.faults);
+        return daemon::exit_settings;
+    }
+    // A caller that is gone shows as an error of the write.
+    std::signal(SIGPIPE, SIG_IGN);
+    asio::io_context context(1);
+    server router(context, outcome.settings, make_ports(context, outcome.settings));
+    const std::error_code ec = router.start();
+    if (ec)
+    {
+        log_event(log_level::error, "listen_failed", {ec});
+        return daemon::exit_address_in_use;
+    }
+    log_event(log_level::info, "started", {{"callers", to_string(outcome.settings.callers)}});
+    settings_watch watch(context, settings_file, *content, router);
+    watch.start();
+    asio::signal_set reload_signals(context, SIGHUP);
+    await_reload(reload_signals, watch);
+    asio::signal_set stop_signals(context, SIGTERM, SIGINT);
+    stop_signals.async_wait(
+        [&router](const boost::system::error_code& failed, int)
+        {
+            if (!failed)
+            {
+                router.stop();
+            }
+        });
+    context.run();
+    daemon::stop_logging();
+    return daemon::exit_success;
+}
+
+} // namespace endivestage::gateway
--- /dev/null
+++ b/endivestage/gateway/server.cpp
@@ -0,0 +1,430 @@
+#include <endivestage/gateway/server.hpp>
+
+#include <endivestage/daemon/logging.hpp>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <utility>
+
+namespace endivestage::gateway
+{
+
+namespace asio = boost::asio;
+using daemon::awaitable;
+using daemon::http_limits;
+using daemon::log_event;
+using daemon::log_level;
+using daemon::response_writer;
+
+namespace
+{
+
+/// Connections whose caller takes no bytes for this long are closed.
+constexpr millis write_timeout{10000};
+constexpr millis house_period{250};
+constexpr millis stop_tick{50};
+constexpr millis join_retry{300};
+/// Address answers of other routers leave a stopping router out after this.
+constexpr millis leave_spread{500};
+/// The process must be gone before it is killed.
+constexpr millis stop_margin{500};
+constexpr std::size_t most_addresses = 64;
+
+http_limits to_http_limits(const caller_limits& limits)
+{
+    http_limits converted;
+    converted.header_bytes = limits.header_bytes;
+    converted.body_bytes = limits.body_bytes;
+    // Callers use connections up to the idle timeout; a close must not cross their request.
+    converted.idle = limits.idle_timeout + millis{1000};
+    converted.request = limits.header_timeout * 2;
+    converted.write = write_timeout;
+    return converted;
+}
+
+stop_settings stop_times(const gateway_bounds& bounds)
+{
+    stop_settings times;
+    times.answer_lifetime = bounds.address_lifetime;
+    times.spread_limit = leave_spread;
+    return times;
+}
+
+awaitable<void> sleep(millis time)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor,
+                             std::chrono::milliseconds(time.count));
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+} // namespace
+
+server::server(asio::io_context& context, gateway_settings settings, platform_ports ports)
+    : context_(context),
+      settings_(std::move(settings)),
+      ports_(std::move(ports)),
+      state_(time_, *ports_.wire, settings_.bounds, settings_.name),
+      proxy_(context.get_executor(), state_),
+      callers_(context, to_http_limits({}), [this](http_request request, response_writer& writer)
+               { return proxy_.serve(std::move(request), writer); }),
+      readiness_(context, {},
+                 [this](http_request request, response_writer& writer) -> awaitable<void>
+                 {
+                     http_response answer =
+                         ports_.desk->answer_readiness(request, state_.ready() && !stopping_);
+                     co_await writer.send(std::move(answer));
+                 }),
+      directory_(context, {},
+                 [this](http_request request, response_writer& writer) -> awaitable<void>
+                 {
+                     http_response answer = ports_.desk->answer_directory(
+                         request, [this](zone_id zone, region_id region)
+                         { return addresses(std::move(zone), std::move(region)); });
+                     co_await writer.send(std::move(answer));
+                 }),
+      peers_server_(context, {},
+                    [this](http_request request, response_writer& writer) -> awaitable<void>
+                    {
+                        http_response answer;
+                        answer.status = 503;
+                        if (replication_)
+                        {
+                            answer = co_await replication_->answer_peer(std::move(request));
+                        }
+                        co_await writer.send(std::move(answer));
+                    }),
+      stop_(stop_times(settings_.bounds))
+{
+    state_.routers = {settings_.name};
+    state_.random = seeded_random(hash64(settings_.name.view(),
+                                         static_cast<std::uint64_t>(time_.wall_now().since_epoch)));
+}
+
+std::error_code server::start()
+{
+    std::error_code ec = callers_.listen(settings_.callers);
+    if (!ec)
+    {
+        ec = readiness_.listen(settings_.readiness);
+    }
+    if (!ec)
+    {
+        ec = directory_.listen(settings_.directory);
+    }
+    if (!ec)
+    {
+        ec = peers_server_.listen({settings_.host, settings_.peer_port});
+    }
+    if (!ec)
+    {
+        asio::co_spawn(context_, join_fleet(), asio::detached);
+        asio::co_spawn(context_, keep_house(), asio::detached);
+    }
+    return ec;
+}
+
+awaitable<void> server::join_fleet()
+{
+    member self;
+    self.id = settings_.name;
+    self.zone = settings_.zone;
+    self.host = settings_.host;
+    self.port = settings_.peer_port;
+    self.udp_port = settings_.peer_port;
+    self.incarnation = static_cast<std::uint64_t>(time_.wall_now().since_epoch);
+    table_replica routers;
+    for (;;)
+    {
+        const result<timed_batch> listed = co_await ports_.tables->list(shared_table::routers);
+        if (listed)
+        {
+            routers.apply(listed->batch);
+            break;
+        }
+        log_event(log_level::warning, "join_delayed", {listed.error()});
+        co_await sleep(join_retry);
+    }
+    const replicated_row* earlier = routers.find(settings_.name.view());
+    if (earlier != nullptr)
+    {
+        // The wall clock may have stepped back since the earlier run of this router.
+        self.incarnation = std::max(self.incarnation, peer_service::incarnation(*earlier) + 1);
+    }
+    peers_ =
+        std::make_unique<peer_service>(context_, time_, std::move(self), settings_.cpu_share);
+    peers_->on_change([this] { refresh_routers(); });
+    const std::error_code ec = peers_->start();
+    if (ec)
+    {
+        log_event(log_level::error, "peer_socket_failed", {ec});
+        context_.stop();
+        co_return;
+    }
+    source_choice choice({}, settings_.name, settings_.zone);
+    replication_callbacks callbacks;
+    callbacks.changed =
+        [this](shared_table table, std::span<const replicated_row> rows, bool settling)
+    { take_changes(table, rows, settling); };
+    callbacks.current_at = [this](time_point instant)
+    {
+        state_.lease.renew(instant);
+        check_serving();
+    };
+    callbacks.live = [this]
+    {
+        std::vector<relay_address> live = peers_->live();
+        relay_address self_address;
+        self_address.who = {settings_.name, settings_.zone, settings_.cpu_share};
+        live.push_back(std::move(self_address));
+        return live;
+    };
+    replication_ = std::make_unique<replication_service>(context_, time_, *ports_.tables,
+                                                         std::move(choice), std::move(callbacks));
+    replication_->start();
+    co_await announce_self();
+}
+
+awaitable<void> server::announce_self()
+{
+    for (;;)
+    {
+        std::string row = peers_->own_row();
+        const std::error_code ec = co_await ports_.tables->write(
+            shared_table::routers, settings_.name.str(), std::move(row));
+        if (!ec || stopping_)
+        {
+            co_return;
+        }
+        co_await sleep(join_retry);
+    }
+}
+
+void server::take_changes(shared_table table, std::span<const replicated_row> rows, bool settling)
+{
+    switch (table)
+    {
+    case shared_table::operations:
+        take_operations(rows);
+        break;
+    case shared_table::endpoints:
+        take_endpoints(rows, settling);
+        break;
+    case shared_table::routers:
+        peers_->update(rows);
+        break;
+    }
+}
+
+void server::adopt_routes(route_table routes)
+{
+    if (state_.routes && routes.version() <= state_.routes->version())
+    {
+        return;
+    }
+    log_event(log_level::info, "configuration_adopted",
+              {{"version", routes.version()}, {"routes", routes.routes().size()}});
+    state_.routes = std::make_shared<const route_table>(std::move(routes));
+    callers_.set_limits(to_http_limits(state_.routes->limits()));
+    check_serving();
+}
+
+void server::check_serving()
+{
+    if (state_.serving == serving_state::starting && state_.routes &&
+        state_.lease.valid(time_.now()) && replication_->complete())
+    {
+        state_.serving = serving_state::serving;
+        log_event(log_level::info, "serving", {{"endpoints", state_.endpoints.size()}});
+    }
+}
+
+void server::take_operations(std::span<const replicated_row> rows)
+{
+    bool zones_changed = false;
+    for (const replicated_row& row : rows)
+    {
+        const std::optional<zone_id> zone = ports_.records->decode_zone(row);
+        if (zone)
+        {
+            zones_changed = true;
+            if (row.deleted)
+            {
+                out_of_service_.erase(*zone);
+            }
+            else
+            {
+                out_of_service_.insert(*zone);
+            }
+            log_event(log_level::info, "zone_changed",
+                      {{"zone", *zone}, {"in_service", row.deleted}});
+            continue;
+        }
+        std::optional<result<route_table>> routes = ports_.records->decode_routes(row);
+        if (routes && *routes)
+        {
+            adopt_routes(std::move(**routes));
+        }
+        else if (routes)
+        {
+            log_event(log_level::error, "configuration_refused",
+                      {{"revision", row.revision}, routes->error()});
+        }
+    }
+    if (zones_changed)
+    {
+        std::map<service_id, millis> cold_periods;
+        if (state_.routes)
+        {
+            for (const service_profile& service : state_.routes->services())
+            {
+                cold_periods[service.name] = service.cold_period;
+            }
+        }
+        state_.endpoints.set_out_of_service(out_of_service_, time_.now(), cold_periods);
+    }
+}
+
+void server::take_endpoints(std::span<const replicated_row> rows, bool settling)
+{
+    for (const replicated_row& row : rows)
+    {
+        const endpoint_id id(row.key);
+        if (row.deleted)
+        {
+            state_.endpoints.remove(id, time_.now(), settling);
+            log_event(log_level::info, "endpoint_removed", {{"endpoint", id}});
+            continue;
+        }
+        const result<endpoint_record> record = ports_.records->decode_endpoint(row);
+        if (!record)
+        {
+            state_.endpoints.remove(id, time_.now());
+            log_event(log_level::warning, "row_unreadable",
+                      {{"table", "endpoints"}, {"key", row.key}});
+            continue;
+        }
+        state_.endpoints.update(*record, time_.now());
+        log_event(log_level::info, "endpoint_updated",
+                  {{"endpoint", id},
+                   {"draining", record->draining},
+                   {"cold_ms", record->cold_left}});
+    }
+}
+
+void server::refresh_routers()
+{
+    state_.routers = peers_->possible();
+}
+
+address_answer server::addresses(zone_id zone, region_id region)
+{
+    std::vector<router_status> routers;
+    if (state_.ready() && !stopping_)
+    {
+        router_status self;
+        self.id = settings_.name;
+        self.host = settings_.callers.host;
+        self.port = settings_.callers.port;
+        self.zone = settings_.zone;
+        self.region = settings_.region;
+        self.live = true;
+        routers.push_back(std::move(self));
+    }
+    const std::vector<relay_address> live =
+        peers_ ? peers_->live() : std::vector<relay_address>{};
+    for (const relay_address& peer : live)
+    {
+        router_status other;
+        other.id = peer.who.id;
+        other.host = peer.address.host;
+        other.port = settings_.callers.port;
+        other.zone = peer.who.zone;
+        other.region = settings_.region;
+        other.live = true;
+        routers.push_back(std::move(other));
+    }
+    address_query query;
+    query.zone = std::move(zone);
+    query.region = std::move(region);
+    query.rotation = ++rotation_;
+    query.limit = most_addresses;
+    query.lifetime = settings_.bounds.address_lifetime;
+    return make_address_answer(routers, query);
+}
+
+awaitable<void> server::keep_house()
+{
+    for (;;)
+    {
+        co_await sleep(house_period);
+        state_.pool.expire();
+        for (const endpoint_id& gone : state_.endpoints.expire(time_.now()))
+        {
+            log_event(log_level::info, "endpoint_forgotten", {{"endpoint", gone}});
+        }
+    }
+}
+
+void server::stop()
+{
+    if (stopping_)
+    {
+        return;
+    }
+    stopping_ = true;
+    state_.serving = serving_state::stopping;
+    log_event(log_level::info, "stopping", {{"open_requests", state_.open_requests}});
+    if (peers_)
+    {
+        peers_->leave();
+    }
+    callers_.announce_close();
+    asio::co_spawn(context_, run_stop(), asio::detached);
+}
+
+awaitable<void> server::run_stop()
+{
+    const time_point begun = time_.now();
+    const time_point last = begun + settings_.bounds.stop_grace - stop_margin;
+    stop_.begin(begun);
+    bool refusing = false;
+    while (time_.now() < last)
+    {
+        stop_progress progress;
+        progress.open_requests = state_.open_requests;
+        progress.in_view = false;
+        bool done = false;
+        for (const stop_action action : stop_.tick(progress, time_.now()))
+        {
+            refusing = refusing || action == stop_action::refuse_connections;
+            done = done || action == stop_action::exit;
+        }
+        if (refusing)
+        {
+            callers_.stop_accepting();
+            callers_.close_idle();
+        }
+        if (done)
+        {
+            break;
+        }
+        co_await sleep(stop_tick);
+    }
+    log_event(log_level::info, "stopped", {{"open_requests", state_.open_requests}});
+    context_.stop();
+}
+
+void server::reload(const gateway_settings& settings)
+{
+    settings_.bounds = settings.bounds;
+    state_.bounds = settings.bounds;
+    log_event(log_level::info, "settings_reloaded");
+}
+
+} // namespace endivestage::gateway
--- /dev/null
+++ b/endivestage/gateway/server.hpp
@@ -0,0 +1,130 @@
+/// \file
+/// \brief One router process: its sockets, its copies of the tables and its planned stop.
+#pragma once
+
+#include <endivestage/address.hpp>
+#include <endivestage/daemon/http_server.hpp>
+#include <endivestage/daemon/process_clock.hpp>
+#include <endivestage/gateway/peer_service.hpp>
+#include <endivestage/gateway/replication_service.hpp>
+#include <endivestage/gateway/request_proxy.hpp>
+#include <endivestage/gateway/settings.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace endivestage::gateway
+{
+
+/// \brief Meaning of the rows of the operator's and the endpoints' tables.
+class record_decoder
+{
+public:
+    virtual ~record_decoder() = default;
+
+    /// \returns The configuration in a row; nothing when the row is another one.
+    virtual std::optional<result<route_table>> decode_routes(const replicated_row& row) const = 0;
+
+    /// \returns The zone that a row takes out of service; nothing when the row is another one.
+    virtual std::optional<zone_id> decode_zone(const replicated_row& row) const = 0;
+
+    /// \returns The endpoint that a row describes, or errc::invalid_configuration.
+    virtual result<endpoint_record> decode_endpoint(const replicated_row& row) const = 0;
+
+protected:
+    record_decoder() = default;
+    record_decoder(const record_decoder&) = default;
+    record_decoder& operator=(const record_decoder&) = default;
+};
+
+class server;
+
+/// \brief Answers to those who ask for addresses or whether the router is ready.
+class front_desk
+{
+public:
+    virtual ~front_desk() = default;
+
+    virtual http_response answer_readiness(const http_request& request, bool ready) const = 0;
+
+    /// \param addresses Gives the addresses for a caller in a zone and region.
+    virtual http_response
+    answer_directory(const http_request& request,
+                     const std::function<address_answer(zone_id, region_id)>& addresses) const = 0;
+
+protected:
+    front_desk() = default;
+    front_desk(const front_desk&) = default;
+    front_desk& operator=(const front_desk&) = default;
+};
+
+/// \brief What the platform's adapter provides.
+struct platform_ports
+{
+    std::unique_ptr<dialect> wire;
+    std::unique_ptr<record_decoder> records;
+    std::unique_ptr<front_desk> desk;
+    std::unique_ptr<table_source> tables;
+};
+
+/// \brief Runs a router until it is stopped.
+class server
+{
+public:
+    server(boost::asio::io_context& context, gateway_settings settings, platform_ports ports);
+
+    /// \brief Opens the sockets and starts the coroutines.
+    /// \returns The first error of a socket.
+    std::error_code start();
+
+    /// \brief Begins the planned stop; ends the context's run when it is done.
+    void stop();
+
+    /// \brief Takes changed settings: bounds; other members need a restart.
+    void reload(const gateway_settings& settings);
+
+private:
+    daemon::awaitable<void> join_fleet();
+    daemon::awaitable<void> announce_self();
+    daemon::awaitable<void> keep_house();
+    daemon::awaitable<void> run_stop();
+    void take_changes(shared_table table, std::span<const replicated_row> rows, bool settling);
+    void take_operations(std::span<const replicated_row> rows);
+    void take_endpoints(std::span<const replicated_row> rows, bool settling);
+    void adopt_routes(route_table routes);
+    void refresh_routers();
+    void check_serving();
+    address_answer addresses(zone_id zone, region_id region);
+
+    boost::asio::io_context& context_;
+    daemon::process_clock time_;
+    gateway_settings settings_;
+    platform_ports ports_;
+    router_state state_;
+    request_proxy proxy_;
+    daemon::http_server callers_;
+    daemon::http_server readiness_;
+    daemon::http_server directory_;
+    daemon::http_server peers_server_;
+    std::unique_ptr<peer_service> peers_;
+    std::unique_ptr<replication_service> replication_;
+    std::set<zone_id> out_of_service_;
+    planned_stop stop_;
+    bool stopping_ = false;
+    std::uint64_t rotation_ = 0;
+};
+
+/// \brief Runs a router with the settings in a file until it is asked to stop.
+/// \param make_ports Makes the platform's adapter for the settings.
+/// \returns An exit code.
+int run_gateway(
+    const std::string& settings_file,
+    const std::function<platform_ports(boost::asio::io_context&, const gateway_settings&)>&
+        make_ports);
+
+} // namespace endivestage::gateway
--- /dev/null
+++ b/endivestage/replication/table_replica.cpp
@@ -0,0 +1,119 @@
+#include <endivestage/replication/table_replica.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace endivestage
+{
+
+bool table_replica::take(const replicated_row& row)
+{
+    const auto it = rows_.find(row.key);
+    if (row.deleted)
+    {
+        if (it == rows_.end() || it->second.revision > row.revision)
+        {
+            return false;
+        }
+        rows_.erase(it);
+    }
+    else
+    {
+        if (it != rows_.end() && it->second.revision >= row.revision)
+        {
+            return false;
+        }
+        rows_[row.key] = row;
+    }
+    log_.push_back(row);
+    return true;
+}
+
+std::vector<replicated_row> table_replica::apply(const change_batch& batch)
+{
+    std::vector<replicated_row> changed;
+    if (revision_ && batch.revision < *revision_)
+    {
+        return changed;
+    }
+    const bool first = !revision_;
+    for (const replicated_row& row : batch.rows)
+    {
+        if (take(row))
+        {
+            changed.push_back(row);
+        }
+    }
+    if (batch.complete)
+    {
+        std::set<std::string_view> present;
+        for (const replicated_row& row : batch.rows)
+        {
+            present.insert(row.key);
+        }
+        std::vector<replicated_row> missing;
+        for (auto it = rows_.begin(); it != rows_.end(); ++it)
+        {
+            if (!present.contains(it->first))
+            {
+                missing.push_back({it->first, {}, batch.revision, true});
+            }
+        }
+        for (const replicated_row& row : missing)
+        {
+            take(row);
+            changed.push_back(row);
+        }
+    }
+    revision_ = batch.revision;
+    if (first)
+    {
+        log_.clear();
+        history_start_ = batch.revision;
+    }
+    while (log_.size() > history_)
+    {
+        history_start_ = std::max(history_start_, log_.front().revision);
+        log_.pop_front();
+    }
+    return changed;
+}
+
+change_batch table_replica::changes_since(std::uint64_t revision) const
+{
+    change_batch batch;
+    batch.revision = revision_.value_or(0);
+    if (revision < history_start_)
+    {
+        batch.complete = true;
+        batch.rows = rows();
+        return batch;
+    }
+    for (const replicated_row& row : log_)
+    {
+        if (row.revision > revision)
+        {
+            batch.rows.push_back(row);
+        }
+    }
+    return batch;
+}
+
+const replicated_row* table_replica::find(std::string_view key) const
+{
+    const auto it = rows_.find(key);
+    return it == rows_.end() ? nullptr : &it->second;
+}
+
+std::vector<replicated_row> table_replica::rows() const
+{
+    std::vector<replicated_row> all;
+    all.reserve(rows_.size());
+    for (auto it = rows_.begin(); it != rows_.end(); ++it)
+    {
+        all.push_back(it->second);
+    }
+    return all;
+}
+
+} // namespace endivestage
--- /dev/null
+++ b/endivestage/routing/endpoint_choice.cpp
@@ -0,0 +1,91 @@
+#include <endivestage/routing/endpoint_choice.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace endivestage
+{
+
+namespace
+{
+
+struct candidate
+{
+    const endpoint_state* endpoint = nullptr;
+    double load = 0.0;
+    bool avoided = false;
+    bool overloaded = false;
+    double score = 0.0; ///< Higher is better.
+};
+
+double median_failure_rate(std::span<const endpoint_state* const> endpoints)
+{
+    std::vector<double> rates;
+    rates.reserve(endpoints.size());
+    for (const endpoint_state* endpoint : endpoints)
+    {
+        rates.push_back(endpoint->failure_rate);
+    }
+    std::vector<double>::iterator middle =
+        rates.begin() + static_cast<std::ptrdiff_t>(rates.size() / 2);
+    std::nth_element(rates.begin(), middle, rates.end());
+    return *middle;
+}
+
+bool contains(std::span<const endpoint_id> ids, const endpoint_id& id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+} // namespace
+
+std::vector<const endpoint_state*> rank_endpoints(const endpoint_directory& directory,
+                                                  const choice_input& input,
+                                                  const choice_config& config)
+{
+    std::vector<const endpoint_state*> ranked;
+    if (input.endpoints.empty())
+    {
+        return ranked;
+    }
+    const double usual_rate = median_failure_rate(input.endpoints);
+    std::vector<candidate> candidates;
+    double total = 0.0;
+    for (const endpoint_state* endpoint : input.endpoints)
+    {
+        candidate c;
+        c.endpoint = endpoint;
+        c.load = directory.estimated_load(*endpoint, input.now, input.routers);
+        c.avoided = input.now < endpoint->avoid_until ||
+                    endpoint->failure_rate > usual_rate + config.failure_margin;
+        total += c.load;
+        const double weight = std::max<std::uint32_t>(1, endpoint->record.slots);
+        c.score = input.chat ? rendezvous_score(*input.chat, endpoint->hash, weight)
+                             : -c.load / weight -
+                                   0.5 * rendezvous_score(input.random, endpoint->hash) * 1e-6;
+        if (!contains(input.tried, endpoint->record.id))
+        {
+            candidates.push_back(c);
+        }
+    }
+    const double mean = total / static_cast<double>(input.endpoints.size());
+    const double bound = mean * config.load_factor + config.load_slack;
+    for (candidate& c : candidates)
+    {
+        c.overloaded = input.chat && c.load + 1.0 > bound;
+    }
+    std::sort(candidates.begin(), candidates.end(),
+              [](const candidate& a, const candidate& b)
+              {
+                  return std::make_tuple(a.avoided, a.overloaded, -a.score) <
+                         std::make_tuple(b.avoided, b.overloaded, -b.score);
+              });
+    ranked.reserve(candidates.size());
+    for (const candidate& c : candidates)
+    {
+        ranked.push_back(c.endpoint);
+    }
+    return ranked;
+}
+
+} // namespace endivestage
--- /dev/null
+++ b/endivestage/routing/endpoint_choice.hpp
@@ -0,0 +1,49 @@
+/// \file
+/// \brief Order in which endpoints are tried for a request.
+#pragma once
+
+#include <endivestage/routing/endpoint_directory.hpp>
+#include <endivestage/routing/send_limits.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace endivestage
+{
+
+/// \brief Limits of the choice.
+struct choice_config
+{
+    /// An engine above this multiple of the pool's mean load, plus slack, is passed over. Below the
+    /// multiple that the operator bounds the load by, since load reports are late.
+    double load_factor = 1.6;
+    double load_slack = 3.0;
+    /// An endpoint whose failure rate is this far above the pool's median is passed over.
+    double failure_margin = 0.22;
+};
+
+/// \brief The state that a choice is made from.
+struct choice_input
+{
+    std::span<const endpoint_state* const> endpoints; ///< Available ones of the service.
+    std::span<const endpoint_id> tried;               ///< Not chosen again for this request.
+    time_point now;
+    std::size_t routers = 1;
+    /// Hash of the chat whose history may be cached; nothing for requests without history.
+    std::optional<std::uint64_t> chat;
+    std::uint64_t random = 0; ///< Breaks ties among endpoints of equal load.
+};
+
+/// \brief Ranks the endpoints for a request, best first.
+///
+/// With a chat: the chat's rendezvous order, so that returning chats find their cache without any
+/// table; engines above the load bound come after those below it. Without: least loaded first.
+/// Cold endpoints keep their rank; the caller sends to them within a \ref cold_share only. Avoided
+/// endpoints come last, so that a request is still tried when all are avoided.
+std::vector<const endpoint_state*> rank_endpoints(const endpoint_directory& directory,
+                                                  const choice_input& input,
+                                                  const choice_config& config);
+
+} // namespace endivestage
--- /dev/null
+++ b/endivestage/routing/endpoint_directory.cpp
@@ -0,0 +1,213 @@
+#include <endivestage/routing/endpoint_directory.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace endivestage
+{
+
+namespace
+{
+
+/// Weight of the newest outcome in the moving average: about the last ten outcomes count.
+constexpr double outcome_weight = 0.15;
+
+} // namespace
+
+std::string_view to_string(endpoint_outcome outcome)
+{
+    switch (outcome)
+    {
+    case endpoint_outcome::served:
+        return "served";
+    case endpoint_outcome::failed:
+        return "failed";
+    case endpoint_outcome::shed:
+        return "shed";
+    case endpoint_outcome::misdirected:
+        return "misdirected";
+    case endpoint_outcome::unreachable:
+        return "unreachable";
+    case endpoint_outcome::broken:
+        break;
+    }
+    return "broken";
+}
+
+void endpoint_directory::update(const endpoint_record& record, time_point now)
+{
+    endpoint_state& state = endpoints_[record.id];
+    const bool known = !state.record.id.empty();
+    const bool restarted = known && (state.record.started_at != record.started_at ||
+                                     state.record.host != record.host ||
+                                     state.record.port != record.port);
+    if (restarted)
+    {
+        const std::uint32_t in_flight = state.in_flight;
+        state = endpoint_state{};
+        state.in_flight = in_flight;
+    }
+    state.record = record;
+    state.hash = hash64(record.id.view());
+    state.removed_at.reset();
+    if (record.cold_left > millis{0})
+    {
+        state.cold_until = std::max(state.cold_until, now + record.cold_left);
+    }
+}
+
+void endpoint_directory::remove(const endpoint_id& id, time_point now, bool after_outage)
+{
+    const auto it = endpoints_.find(id);
+    if (it == endpoints_.end())
+    {
+        return;
+    }
+    if (after_outage && !it->second.record.draining)
+    {
+        it->second.removed_at = now;
+        return;
+    }
+    endpoints_.erase(it);
+}
+
+std::vector<endpoint_id> endpoint_directory::expire(time_point now)
+{
+    std::vector<endpoint_id> gone;
+    for (auto it = endpoints_.begin(); it != endpoints_.end();)
+    {
+        if (it->second.removed_at && now - *it->second.removed_at >= config_.lapse_grace)
+        {
+            gone.push_back(it->first);
+            it = endpoints_.erase(it);
+        }
+        else
+        {
+            ++it;
+        }
+    }
+    return gone;
+}
+
+void endpoint_directory::set_out_of_service(std::set<zone_id> zones, time_point now,
+                                            const std::map<service_id, millis>& cold_periods)
+{
+    for (auto it = endpoints_.begin(); it != endpoints_.end(); ++it)
+    {
+        const zone_id& zone = it->second.record.zone;
+        const auto period = cold_periods.find(it->second.record.service);
+        if (out_of_service_.contains(zone) && !zones.contains(zone) && period != cold_periods.end())
+        {
+            it->second.cold_until = std::max(it->second.cold_until, now + period->second);
+        }
+    }
+    out_of_service_ = std::move(zones);
+}
+
+void endpoint_directory::started(const endpoint_id& id)
+{
+    const auto it = endpoints_.find(id);
+    if (it != endpoints_.end())
+    {
+        ++it->second.in_flight;
+    }
+}
+
+void endpoint_directory::finished(const endpoint_id& id, endpoint_outcome outcome, time_point now,
+                                  millis cold_period)
+{
+    const auto it = endpoints_.find(id);
+    if (it == endpoints_.end())
+    {
+        return;
+    }
+    endpoint_state& state = it->second;
+    state.in_flight -= state.in_flight > 0 ? 1 : 0;
+    const bool lost =
+        outcome == endpoint_outcome::unreachable || outcome == endpoint_outcome::broken;
+    const bool bad = lost || outcome == endpoint_outcome::failed;
+    if (outcome != endpoint_outcome::shed && outcome != endpoint_outcome::misdirected)
+    {
+        state.failure_rate += outcome_weight * ((bad ? 1.0 : 0.0) - state.failure_rate);
+    }
+    if (outcome == endpoint_outcome::served)
+    {
+        if (state.failures > 1)
+        {
+            // It was away and may have restarted with an empty cache before its record says so.
+            state.cold_until = std::max(state.cold_until, now + cold_period);
+        }
+        state.failures = 0;
+        state.avoid_until = time_point{};
+    }
+    if (lost)
+    {
+        ++state.failures;
+        const std::int64_t doublings = std::min<std::uint32_t>(state.failures - 1, 6);
+        const millis wait = std::min(config_.longest_avoidance,
+                                     config_.first_avoidance * (std::int64_t{1} << doublings));
+        // A single broken answer is no sign that the endpoint is gone.
+        if (outcome == endpoint_outcome::unreachable || state.failures > 2)
+        {
+            state.avoid_until = now + wait;
+        }
+    }
+    if (outcome == endpoint_outcome::misdirected)
+    {
+        state.avoid_until = now + config_.longest_avoidance;
+    }
+}
+
+void endpoint_directory::report_load(const endpoint_id& id, double requests, time_point now)
+{
+    const auto it = endpoints_.find(id);
+    if (it != endpoints_.end())
+    {
+        it->second.load_reported = requests;
+        it->second.in_flight_at_report = it->second.in_flight;
+        it->second.load_reported_at = now;
+    }
+}
+
+void endpoint_directory::report_cold(const endpoint_id& id, millis left, time_point now)
+{
+    const auto it = endpoints_.find(id);
+    if (it != endpoints_.end())
+    {
+        it->second.cold_until = std::max(it->second.cold_until, now + left);
+    }
+}
+
+std::vector<const endpoint_state*> endpoint_directory::available(const service_id& service) const
+{
+    std::vector<const endpoint_state*> found;
+    for (auto it = endpoints_.begin(); it != endpoints_.end(); ++it)
+    {
+        const endpoint_record& record = it->second.record;
+        if (record.service == service && !record.draining && !out_of_service_.contains(record.zone))
+        {
+            found.push_back(&it->second);
+        }
+    }
+    return found;
+}
+
+const endpoint_state* endpoint_directory::find(const endpoint_id& id) const
+{
+    const auto it = endpoints_.find(id);
+    return it == endpoints_.end() ? nullptr : &it->second;
+}
+
+double endpoint_directory::estimated_load(const endpoint_state& endpoint, time_point now,
+                                          std::size_t routers) const
+{
+    const double own = static_cast<double>(endpoint.in_flight);
+    if (now - endpoint.load_reported_at > config_.report_lifetime)
+    {
+        return own * static_cast<double>(routers);
+    }
+    const double since = own - static_cast<double>(endpoint.in_flight_at_report);
+    return std::max(own, endpoint.load_reported + since);
+}
+
+} // namespace endivestage
--- /dev/null
+++ b/endivestage/routing/endpoint_directory.hpp
@@ -0,0 +1,129 @@
+/// \file
+/// \brief What a router believes about the endpoints of all services.
+#pragma once
+
+#include <endivestage/core.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace endivestage
+{
+
+/// \brief An endpoint as it describes itself in the platform's table.
+struct endpoint_record
+{
+    endpoint_id id;
+    service_id service;
+    std::string host;
+    std::uint16_t port = 0;
+    zone_id zone;
+    bool draining = false;
+    millis cold_left{0};        ///< How long it stays cold, from when the record was read.
+    std::int64_t started_at = 0; ///< Unix time in ms of its start; 0 when unknown.
+    std::uint32_t slots = 1;
+};
+
+/// \brief How a request to an endpoint ended, as far as it tells about the endpoint.
+enum class endpoint_outcome
+{
+    served,        ///< A complete answer.
+    failed,        ///< An answer that reports a failure of the endpoint itself.
+    shed,          ///< Refused as not executed.
+    misdirected,   ///< Another endpoint has the address now.
+    unreachable,   ///< No connection could be made.
+    broken,        ///< The connection ended, or the time ran out, before the answer was complete.
+};
+
+/// \returns The snake_case name of an outcome.
+std::string_view to_string(endpoint_outcome outcome);
+
+/// \brief An endpoint with the router's own observations.
+struct endpoint_state
+{
+    endpoint_record record;
+    std::uint64_t hash = 0;      ///< Of the id, for rendezvous hashing.
+    time_point cold_until;       ///< In the past when it is warm.
+    time_point avoid_until;      ///< Not chosen before, unless nothing else is left.
+    std::uint32_t failures = 0;  ///< Unreachable or broken in a row.
+    double failure_rate = 0.0;   ///< Moving average over recent outcomes, 0 to 1.
+    std::uint32_t in_flight = 0; ///< This router's open requests.
+    double load_reported = 0.0;  ///< Requests that it said it holds, from all routers.
+    std::uint32_t in_flight_at_report = 0;
+    time_point load_reported_at{-1000000};
+    std::optional<time_point> removed_at; ///< Its record went; kept for a while after an outage.
+
+    bool cold(time_point now) const { return now < cold_until; }
+};
+
+/// \brief Timing of the router's beliefs.
+struct endpoint_directory_config
+{
+    /// Records that expired during an outage of the table are written again within this time.
+    millis lapse_grace{2000};
+    millis first_avoidance{400};    ///< After one failed connection; doubles with each further.
+    millis longest_avoidance{4000}; ///< An endpoint that is back is found within this time.
+    millis report_lifetime{1500};   ///< Older load reports say nothing about the present.
+};
+
+/// \brief The endpoints of all services, with what records, operators and outcomes say of them.
+///
+/// Not thread-safe. Instants passed in must not decrease.
+class endpoint_directory
+{
+public:
+    explicit endpoint_directory(endpoint_directory_config config = {}) : config_(config) {}
+
+    /// \brief Takes a new or changed record.
+    void update(const endpoint_record& record, time_point now);
+
+    /// \brief The record is gone.
+    /// \param after_outage The table was out of reach until shortly before: the endpoint is kept
+    /// until it has had time to write its record again.
+    void remove(const endpoint_id& id, time_point now, bool after_outage = false);
+
+    /// \brief Forgets endpoints that were kept after an outage and did not return.
+    /// \returns Those forgotten.
+    std::vector<endpoint_id> expire(time_point now);
+
+    /// \brief Zones whose endpoints must get nothing. Endpoints of a zone that returns count as
+    /// cold for \p cold_period of their service.
+    void set_out_of_service(std::set<zone_id> zones, time_point now,
+                            const std::map<service_id, millis>& cold_periods);
+
+    /// \brief A request was sent; count its end with \ref finished.
+    void started(const endpoint_id& id);
+
+    /// \param cold_period Of the service; an endpoint that was unreachable counts as cold.
+    void finished(const endpoint_id& id, endpoint_outcome outcome, time_point now,
+                  millis cold_period);
+
+    /// \brief Takes the number of requests that the endpoint said it holds.
+    void report_load(const endpoint_id& id, double requests, time_point now);
+
+    /// \brief The endpoint said that it is cold for this long.
+    void report_cold(const endpoint_id& id, millis left, time_point now);
+
+    /// \returns Endpoints of a service that may get requests: not draining, not gone, not in a
+    /// zone out of service.
+    std::vector<const endpoint_state*> available(const service_id& service) const;
+
+    const endpoint_state* find(const endpoint_id& id) const;
+
+    /// \returns The estimated number of requests that the endpoint holds from all routers.
+    double estimated_load(const endpoint_state& endpoint, time_point now,
+                          std::size_t routers) const;
+
+    std::size_t size() const { return endpoints_.size(); }
+
+private:
+    endpoint_directory_config config_;
+    std::map<endpoint_id, endpoint_state> endpoints_;
+    std::set<zone_id> out_of_service_;
+};
+
+} // namespace endivestage
--- /dev/null
+++ b/endivestage/routing/send_limits.cpp
@@ -0,0 +1,121 @@
+#include <endivestage/routing/send_limits.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <vector>
+
+namespace endivestage
+{
+
+sliding_count::sliding_count(millis window, std::int64_t slots)
+    : slot_length_{std::max<std::int64_t>(1, window.count / slots)},
+      slots_(slots)
+{
+}
+
+void sliding_count::expire(time_point now)
+{
+    const std::int64_t oldest = now.since_epoch / slot_length_.count - slots_;
+    while (!entries_.empty() && entries_.front().number < oldest)
+    {
+        total_ -= entries_.front().count;
+        entries_.pop_front();
+    }
+}
+
+void sliding_count::add(time_point now)
+{
+    expire(now);
+    const std::int64_t number = now.since_epoch / slot_length_.count;
+    if (entries_.empty() || entries_.back().number != number)
+    {
+        entries_.push_back({number, 0});
+    }
+    ++entries_.back().count;
+    ++total_;
+}
+
+std::uint64_t sliding_count::total(time_point now)
+{
+    expire(now);
+    return total_;
+}
+
+repeat_budget::repeat_budget(repeat_limit limit, time_point started)
+    : limit_(limit),
+      started_(started),
+      first_(limit.window),
+      repeats_(limit.window)
+{
+}
+
+void repeat_budget::first_send(time_point now)
+{
+    first_.add(now);
+}
+
+bool repeat_budget::try_repeat(time_point now, std::size_t routers)
+{
+    assert(routers > 0);
+    double allowed = limit_.ratio * static_cast<double>(first_.total(now));
+    if (now - started_ > limit_.window)
+    {
+        allowed += static_cast<double>(limit_.allowance) / static_cast<double>(routers);
+    }
+    if (static_cast<double>(repeats_.total(now) + 1) > allowed * safety)
+    {
+        return false;
+    }
+    repeats_.add(now);
+    return true;
+}
+
+std::uint32_t cold_share::requests_per_s(const endpoint_id& endpoint, const cold_limit& limit,
+                                         std::span<const router_id> routers) const
+{
+    assert(!routers.empty());
+    const double part = limit.sustained_per_s / static_cast<double>(routers.size());
+    if (part >= 1.0)
+    {
+        return static_cast<std::uint32_t>(part);
+    }
+    if (static_cast<double>(routers.size()) <= limit.most_in_a_second * 0.85)
+    {
+        return 1;
+    }
+    const std::size_t chosen =
+        static_cast<std::size_t>(std::max(1.0, std::floor(limit.sustained_per_s * 0.7)));
+    std::vector<weighted_node> nodes;
+    nodes.reserve(routers.size());
+    for (const router_id& id : routers)
+    {
+        nodes.push_back({hash64(id.view()), 1.0});
+    }
+    for (const std::size_t n : rank_by_rendezvous(hash64(endpoint.view()), nodes, chosen))
+    {
+        if (routers[n] == self_)
+        {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+bool cold_share::try_send(const endpoint_id& endpoint, const cold_limit& limit,
+                          std::span<const router_id> routers, time_point now)
+{
+    std::deque<time_point>& times = sent_[endpoint];
+    while (!times.empty() && now - times.front() > window)
+    {
+        times.pop_front();
+    }
+    if (times.size() >= requests_per_s(endpoint, limit, routers))
+    {
+        return false;
+    }
+    times.push_back(now);
+    return true;
+}
+
+} // namespace endivestage
