Copy prompt prefixes from engines that hold them

Change: prefix_directory remembers which engines read which parts; a request names an engine to copy from when its target lacks at least 100 tokens. Routers tell news of parts to a few random peers by UDP, in batches.

--- a/endivestage/gateway/dialect.hpp
+++ b/endivestage/gateway/dialect.hpp
@@ -4,6 +4,7 @@
 
 #include <endivestage/core.hpp>
 #include <endivestage/daemon/http_types.hpp>
+#include <endivestage/routing.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -27,7 +28,8 @@
     std::optional<millis> deadline;            ///< Time that the caller waits.
     std::optional<std::uint64_t> chat;         ///< Hash of the chat that it continues.
     std::optional<std::uint64_t> last_event;   ///< Last event of a broken stream that it has.
-    std::uint32_t prompt_tokens = 0;           ///< 0 when unknown.
+    std::vector<prompt_part> shared_prompt; ///< Parts that other requests may share, in order.
+    std::uint32_t prompt_tokens = 0;        ///< 0 when unknown.
 };
 
 /// \brief What a router adds to a request that it sends to an endpoint.
@@ -38,6 +40,7 @@
     std::uint32_t priority = 0;
     millis time_left{0};
     std::optional<std::uint64_t> last_event; ///< Continue a stream after this event.
+    std::optional<daemon::network_address> copy_from; ///< Engine that holds more of the prompt.
 };
 
 /// \brief What the head of an answer says.
--- a/endivestage/gateway/exchange.cpp
+++ b/endivestage/gateway/exchange.cpp
@@ -28,6 +28,8 @@
 constexpr millis any_idle_time{60000};
 /// Answers of another request that are skipped on one connection.
 constexpr int most_foreign_answers = 3;
+/// Copying from another engine costs a set-up of a few milliseconds, as reading these tokens does.
+constexpr std::uint32_t least_copied_tokens = 100;
 constexpr std::size_t answer_limit_bytes = 16UL * 1024 * 1024;
 /// Another router can take the request at once.
 constexpr millis retry_elsewhere{50};
@@ -159,6 +161,28 @@
     return nullptr;
 }
 
+std::optional<daemon::network_address>
+exchange::find_copy_source(const endpoint_id& target) const
+{
+    const time_point now = state_.time.now();
+    const std::uint64_t target_hash = hash64(target.view());
+    const std::optional<std::uint64_t> source = state_.prefixes.find_source(
+        decoded_.shared_prompt, target_hash,
+        [&](std::uint64_t hash)
+        {
+            const endpoint_state* engine = state_.endpoints.find_by_hash(hash);
+            return engine != nullptr && hash != target_hash && now >= engine->avoid_until &&
+                   engine->failures == 0;
+        },
+        least_copied_tokens, now);
+    if (!source)
+    {
+        return std::nullopt;
+    }
+    const endpoint_record& record = state_.endpoints.find_by_hash(*source)->record;
+    return daemon::network_address{record.host, record.port};
+}
+
 awaitable<void> exchange::try_endpoints()
 {
     repeat_budget& budget = state_.budget(service_);
@@ -290,6 +314,7 @@
     what.priority = priority_;
     what.time_left = time.left;
     what.last_event = framer_.last_event() ? framer_.last_event() : decoded_.last_event;
+    what.copy_from = find_copy_source(to.id);
     const millis wait = first_answer_wait(*route_, history_, time);
     ++history_.sends;
     connection_->send(state_.wire.encode_request(request_, what));
@@ -459,6 +484,15 @@
         }
         if (!events.empty())
         {
+            if (first)
+            {
+                // The first event shows that the prompt was read.
+                for (const sighting& seen : state_.prefixes.served(
+                         decoded_.shared_prompt, hash64(last_endpoint_.view()), state_.time.now()))
+                {
+                    state_.news.push_back(seen);
+                }
+            }
             first = false;
             const bool delivered = co_await deliver_events(std::move(events));
             if (!delivered)
--- a/endivestage/gateway/exchange.hpp
+++ b/endivestage/gateway/exchange.hpp
@@ -37,6 +37,7 @@
 
     daemon::awaitable<void> try_endpoints();
     const endpoint_state* choose_endpoint();
+    std::optional<daemon::network_address> find_copy_source(const endpoint_id& target) const;
     daemon::awaitable<endpoint_outcome> attempt(endpoint_record to);
     daemon::awaitable<bool> open_connection(endpoint_record to);
     daemon::awaitable<endpoint_outcome> read_answer(endpoint_record from, millis wait);
--- a/endivestage/gateway/peer_service.cpp
+++ b/endivestage/gateway/peer_service.cpp
@@ -3,7 +3,9 @@
 #include <endivestage/daemon/json_access.hpp>
 #include <endivestage/daemon/logging.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 namespace endivestage::gateway
@@ -19,6 +21,8 @@
 {
 
 constexpr std::chrono::milliseconds tick_period{50};
+/// About 43 bytes each; a datagram stays below the usual packet size.
+constexpr std::size_t sightings_per_datagram = 25;
 /// A dead router may still run behind a cut: it keeps its part of shared limits for this long.
 constexpr millis dead_keeps_share{15000};
 
@@ -79,9 +83,14 @@
             {
                 return;
             }
-            if (!ec)
+            const std::string_view text(buf_.data(), ec ? 0 : n);
+            if (text.starts_with('['))
+            {
+                take_sightings(text);
+            }
+            else if (!ec)
             {
-                const result<packet> content = decode_packet(std::string_view(buf_.data(), n));
+                const result<packet> content = decode_packet(text);
                 if (content)
                 {
                     carry_out(detector_.receive(*content, time_.now()));
@@ -111,16 +120,7 @@
     {
         if (const send_packet* send = std::get_if<send_packet>(&action))
         {
-            boost::system::error_code ec;
-            const asio::ip::address ip = asio::ip::make_address(send->to.host, ec);
-            if (ec)
-            {
-                continue;
-            }
-            const std::string text = encode_packet(send->content);
-            // A datagram that cannot be sent now is lost like any other.
-            socket_.send_to(asio::buffer(text), udp::endpoint(ip, send->to.udp_port), 0, ec);
-            bytes_sent_ += text.size();
+            send_text(send->to.host, send->to.udp_port, encode_packet(send->content));
         }
         else if (const member_changed* changed = std::get_if<member_changed>(&action))
         {
@@ -142,6 +142,69 @@
     }
 }
 
+void peer_service::send_text(const std::string& host, std::uint16_t port, std::string_view text)
+{
+    boost::system::error_code ec;
+    const asio::ip::address ip = asio::ip::make_address(host, ec);
+    if (!ec)
+    {
+        // A datagram that cannot be sent now is lost like any other.
+        socket_.send_to(asio::buffer(text), udp::endpoint(ip, port), 0, ec);
+        bytes_sent_ += text.size();
+    }
+}
+
+void peer_service::spread(std::span<const sighting> news)
+{
+    std::vector<relay_address> peers = live();
+    // Push to ln(n) + 2 peers each: with fewer, some routers of a large fleet stay out.
+    const std::size_t fan_out = std::min(
+        peers.size(), static_cast<std::size_t>(std::log(static_cast<double>(peers.size() + 1)) + 2));
+    for (std::size_t n = 0; n < fan_out; ++n)
+    {
+        std::swap(peers[n], peers[n + random_.below(peers.size() - n)]);
+    }
+    for (std::size_t start = 0; start < news.size(); start += sightings_per_datagram)
+    {
+        json::array pairs;
+        for (const sighting& seen : news.subspan(start).first(
+                 std::min(sightings_per_datagram, news.size() - start)))
+        {
+            pairs.emplace_back(json::array{seen.part, seen.engine});
+        }
+        const std::string text = json::serialize(pairs);
+        for (std::size_t n = 0; n < fan_out; ++n)
+        {
+            send_text(peers[n].address.host, peers[n].address.port, text);
+        }
+    }
+}
+
+void peer_service::take_sightings(std::string_view text)
+{
+    boost::system::error_code ec;
+    const json::value parsed = json::parse(text, ec);
+    if (ec || !parsed.is_array() || !sighted_)
+    {
+        return;
+    }
+    for (const json::value& pair : parsed.get_array())
+    {
+        if (!pair.is_array() || pair.get_array().size() != 2)
+        {
+            continue;
+        }
+        boost::system::error_code bad;
+        const std::uint64_t part = pair.get_array()[0].to_number<std::uint64_t>(bad);
+        const std::uint64_t engine =
+            bad ? 0 : pair.get_array()[1].to_number<std::uint64_t>(bad);
+        if (!bad)
+        {
+            sighted_({part, engine});
+        }
+    }
+}
+
 void peer_service::update(std::span<const replicated_row> rows)
 {
     for (const replicated_row& row : rows)
--- a/endivestage/gateway/peer_service.hpp
+++ b/endivestage/gateway/peer_service.hpp
@@ -48,6 +48,15 @@
 
     std::uint64_t bytes_sent() const { return bytes_sent_; }
 
+    /// \brief Tells a few routers, drawn at random, which tell others what is news to them.
+    void spread(std::span<const sighting> news);
+
+    /// \brief Sets what is called for each sighting that another router told.
+    void on_sighting(std::function<void(const sighting&)> callback)
+    {
+        sighted_ = std::move(callback);
+    }
+
     void on_change(std::function<void()> callback) { changed_ = std::move(callback); }
 
 private:
@@ -60,6 +69,8 @@
 
     void receive();
     void tick();
+    void take_sightings(std::string_view text);
+    void send_text(const std::string& host, std::uint16_t port, std::string_view text);
     void carry_out(const membership_actions& actions);
     void refresh_candidates();
 
@@ -74,6 +85,7 @@
     boost::asio::steady_timer timer_;
     std::map<router_id, known_router> routers_;
     std::function<void()> changed_;
+    std::function<void(const sighting&)> sighted_;
     std::uint64_t bytes_sent_ = 0;
 };
 
--- a/endivestage/gateway/router_state.hpp
+++ b/endivestage/gateway/router_state.hpp
@@ -68,6 +68,8 @@
     knowledge_lease lease; ///< Of the operator's table.
     std::vector<router_id> routers; ///< That may be running, this one included.
     endpoint_pool pool;
+    prefix_directory prefixes;
+    std::vector<sighting> news; ///< Of prefixes; not yet told to other routers.
     choice_config choice;
     serving_state serving = serving_state::starting;
     std::size_t open_requests = 0;
--- a/endivestage/gateway/server.cpp
+++ b/endivestage/gateway/server.cpp
@@ -27,6 +27,8 @@
 /// Connections whose caller takes no bytes for this long are closed.
 constexpr millis write_timeout{10000};
 constexpr millis house_period{250};
+/// News of prefixes are gathered for this long, so that several share a datagram.
+constexpr millis spread_period{100};
 constexpr millis stop_tick{50};
 constexpr millis join_retry{300};
 /// Address answers of other routers leave a stopping router out after this.
@@ -187,9 +189,31 @@
     replication_ = std::make_unique<replication_service>(context_, time_, *ports_.tables,
                                                          std::move(choice), std::move(callbacks));
     replication_->start();
+    peers_->on_sighting(
+        [this](const sighting& seen)
+        {
+            if (state_.prefixes.learn(seen, time_.now()))
+            {
+                state_.news.push_back(seen);
+            }
+        });
+    asio::co_spawn(context_, spread_sightings(), asio::detached);
     co_await announce_self();
 }
 
+awaitable<void> server::spread_sightings()
+{
+    for (;;)
+    {
+        co_await sleep(spread_period);
+        if (!state_.news.empty())
+        {
+            peers_->spread(state_.news);
+            state_.news.clear();
+        }
+    }
+}
+
 awaitable<void> server::announce_self()
 {
     for (;;)
@@ -298,6 +322,7 @@
         if (row.deleted)
         {
             state_.endpoints.remove(id, time_.now(), settling);
+            state_.prefixes.forget(hash64(id.view()));
             log_event(log_level::info, "endpoint_removed", {{"endpoint", id}});
             continue;
         }
--- a/endivestage/gateway/server.hpp
+++ b/endivestage/gateway/server.hpp
@@ -91,6 +91,7 @@
 private:
     daemon::awaitable<void> join_fleet();
     daemon::awaitable<void> announce_self();
+    daemon::awaitable<void> spread_sightings();
     daemon::awaitable<void> keep_house();
     daemon::awaitable<void> run_stop();
     void take_changes(shared_table table, std::span<const replicated_row> rows, bool settling);
--- a/endivestage/routing/endpoint_directory.cpp
+++ b/endivestage/routing/endpoint_directory.cpp
@@ -49,6 +49,7 @@
     }
     state.record = record;
     state.hash = hash64(record.id.view());
+    by_hash_[state.hash] = record.id;
     state.removed_at.reset();
     if (record.cold_left > millis{0})
     {
@@ -68,6 +69,7 @@
         it->second.removed_at = now;
         return;
     }
+    by_hash_.erase(it->second.hash);
     endpoints_.erase(it);
 }
 
@@ -79,6 +81,7 @@
         if (it->second.removed_at && now - *it->second.removed_at >= config_.lapse_grace)
         {
             gone.push_back(it->first);
+            by_hash_.erase(it->second.hash);
             it = endpoints_.erase(it);
         }
         else
@@ -198,6 +201,12 @@
     return it == endpoints_.end() ? nullptr : &it->second;
 }
 
+const endpoint_state* endpoint_directory::find_by_hash(std::uint64_t hash) const
+{
+    const auto it = by_hash_.find(hash);
+    return it == by_hash_.end() ? nullptr : find(it->second);
+}
+
 double endpoint_directory::estimated_load(const endpoint_state& endpoint, time_point now,
                                           std::size_t routers) const
 {
--- a/endivestage/routing/endpoint_directory.hpp
+++ b/endivestage/routing/endpoint_directory.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace endivestage
@@ -114,6 +115,9 @@
 
     const endpoint_state* find(const endpoint_id& id) const;
 
+    /// \returns The endpoint whose id has this hash; null without one.
+    const endpoint_state* find_by_hash(std::uint64_t hash) const;
+
     /// \returns The estimated number of requests that the endpoint holds from all routers.
     double estimated_load(const endpoint_state& endpoint, time_point now,
                           std::size_t routers) const;
@@ -123,6 +127,7 @@
 private:
     endpoint_directory_config config_;
     std::map<endpoint_id, endpoint_state> endpoints_;
+    std::unordered_map<std::uint64_t, endpoint_id> by_hash_;
     std::set<zone_id> out_of_service_;
 };
 
