End the process after a planned stop and serve as soon as all tables are read

A started router served only at the next renewal of its lease, up to 700 ms late, and told callers to come back before it was ready. Change: end the process after the log is closed; check for serving after every table update; Retry-After 300 ms at start.

--- a/endivestage/gateway/exchange.cpp
+++ b/endivestage/gateway/exchange.cpp
@@ -33,6 +33,8 @@
 constexpr std::size_t answer_limit_bytes = 16UL * 1024 * 1024;
 /// Another router can take the request at once.
 constexpr millis retry_elsewhere{50};
+/// A router reads its tables in tens of milliseconds; when all start at once no other is ready.
+constexpr millis retry_after_start{300};
 /// Endpoints that turn requests away need some of their work to end first.
 constexpr millis retry_when_relieved{250};
 
@@ -82,7 +84,7 @@
     routes_ = state_.routes;
     if (!routes_ || state_.serving == serving_state::starting)
     {
-        co_await fail(503, errc::store_unavailable, execution::not_run, retry_elsewhere);
+        co_await fail(503, errc::store_unavailable, execution::not_run, retry_after_start);
         co_return;
     }
     route_ = routes_->find(decoded_.host, decoded_.path);
--- a/endivestage/gateway/replication_service.cpp
+++ b/endivestage/gateway/replication_service.cpp
@@ -266,6 +266,7 @@
     {
         renew(std::max(sent, service_clock_.earliest_local(answer->stamp).value_or(sent)));
     }
+    callbacks_.updated();
     co_return table == shared_table::endpoints && changed ? endpoints_pause : millis{0};
 }
 
@@ -396,6 +397,7 @@
     }
     // The relay stated the age after it was asked, so this is no later than the true instant.
     renew(asked - millis{age_ms});
+    callbacks_.updated();
     return {};
 }
 
--- a/endivestage/gateway/replication_service.hpp
+++ b/endivestage/gateway/replication_service.hpp
@@ -33,6 +33,8 @@
     std::function<void(shared_table, std::span<const replicated_row>, bool settling)> changed;
     /// The copy of the operator's table was current at this local instant.
     std::function<void(time_point)> current_at;
+    /// A copy was brought up to date, with or without changes.
+    std::function<void()> updated;
     /// The routers that are believed alive.
     std::function<std::vector<relay_address>()> live;
 };
--- a/endivestage/gateway/run_gateway.cpp
+++ b/endivestage/gateway/run_gateway.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iterator>
 #include <optional>
@@ -156,7 +157,9 @@
         });
     context.run();
     daemon::stop_logging();
-    return daemon::exit_success;
+    // Coroutines that still wait refer to the router and to sockets of the context, and neither can
+    // be destroyed before the other. Nothing is left to write, so the process ends without that.
+    std::_Exit(daemon::exit_success);
 }
 
 } // namespace endivestage::gateway
--- a/endivestage/gateway/server.cpp
+++ b/endivestage/gateway/server.cpp
@@ -173,11 +173,8 @@
     callbacks.changed =
         [this](shared_table table, std::span<const replicated_row> rows, bool settling)
     { take_changes(table, rows, settling); };
-    callbacks.current_at = [this](time_point instant)
-    {
-        state_.lease.renew(instant);
-        check_serving();
-    };
+    callbacks.current_at = [this](time_point instant) { state_.lease.renew(instant); };
+    callbacks.updated = [this] { check_serving(); };
     callbacks.live = [this]
     {
         std::vector<relay_address> live = peers_->live();
@@ -255,7 +252,6 @@
               {{"version", routes.version()}, {"routes", routes.routes().size()}});
     state_.routes = std::make_shared<const route_table>(std::move(routes));
     callers_.set_limits(to_http_limits(state_.routes->limits()));
-    check_serving();
 }
 
 void server::check_serving()
