Pass over relays that lost the store, and relay less

Change: a relay whose copy is older than 1.5 s, or that does not answer, is passed over for 3 s, as is a router that fails to reach the store; a stale router refreshes once; chats stay with engines that hold their history; relayed answers are deflated and leave out tables without news; sightings are 16 bytes and go to ln(n) + 1 peers.

--- a/endivestage/gateway/exchange.cpp
+++ b/endivestage/gateway/exchange.cpp
@@ -22,7 +22,7 @@
 /// Sent bytes that stay unacknowledged so long mean a host or a path that is gone.
 constexpr millis silence_timeout{700};
 /// Endpoints state how long they keep idle connections; without a statement this is assumed.
-constexpr millis assumed_idle_timeout{5000};
+constexpr millis assumed_idle_timeout{30000};
 /// A request that must not be repeated takes no connection that may have been dropped unnoticed.
 constexpr millis fresh_enough{1500};
 constexpr millis any_idle_time{60000};
@@ -150,7 +150,12 @@
     input.now = now;
     input.routers = state_.routers.size();
     input.chat = decoded_.chat;
+    input.prefixes = &state_.prefixes;
     input.random = state_.random.next();
+    if (decoded_.chat)
+    {
+        homes_ = find_homes(available, *decoded_.chat);
+    }
     for (const endpoint_state* endpoint : rank_endpoints(state_.endpoints, input, state_.choice))
     {
         if (!endpoint->cold(now) || profile_ == nullptr || profile_->cold_requests_per_s <= 0.0 ||
@@ -168,16 +173,21 @@
 {
     const time_point now = state_.time.now();
     const std::uint64_t target_hash = hash64(target.view());
-    const std::optional<std::uint64_t> source = state_.prefixes.find_source(
-        decoded_.shared_prompt, target_hash,
-        [&](std::uint64_t hash)
-        {
-            const endpoint_state* engine = state_.endpoints.find_by_hash(hash);
-            return engine != nullptr && hash != target_hash && now >= engine->avoid_until &&
-                   engine->failures == 0;
-        },
-        least_copied_tokens, now);
-    if (!source)
+    const auto usable = [&](std::uint64_t hash)
+    {
+        const endpoint_state* engine = state_.endpoints.find_by_hash(hash);
+        return engine != nullptr && hash != target_hash && now >= engine->avoid_until &&
+               engine->failures == 0;
+    };
+    std::optional<std::uint64_t> source = state_.prefixes.find_source(
+        decoded_.shared_prompt, target_hash, usable, least_copied_tokens, now);
+    const bool unknown = decoded_.chat && !state_.prefixes.knows(*decoded_.chat, now);
+    if (!source && unknown)
+    {
+        // Others may have served the chat at its home; when an engine joined, at the second one.
+        source = homes_.first == target_hash ? homes_.second : homes_.first;
+    }
+    if (!source || !usable(*source))
     {
         return std::nullopt;
     }
@@ -451,6 +461,16 @@
     co_return endpoint_outcome::served;
 }
 
+void exchange::note_history(const endpoint_id& engine)
+{
+    const std::uint64_t hash = hash64(engine.view());
+    for (const sighting& seen :
+         state_.prefixes.served(decoded_.shared_prompt, hash, state_.time.now()))
+    {
+        state_.news.push_back(seen);
+    }
+}
+
 awaitable<bool> exchange::deliver_events(std::string events)
 {
     if (!history_.answer_begun)
@@ -489,11 +509,7 @@
             if (first)
             {
                 // The first event shows that the prompt was read.
-                for (const sighting& seen : state_.prefixes.served(
-                         decoded_.shared_prompt, hash64(last_endpoint_.view()), state_.time.now()))
-                {
-                    state_.news.push_back(seen);
-                }
+                note_history(last_endpoint_);
             }
             first = false;
             const bool delivered = co_await deliver_events(std::move(events));
--- a/endivestage/gateway/exchange.hpp
+++ b/endivestage/gateway/exchange.hpp
@@ -38,6 +38,7 @@
     daemon::awaitable<void> try_endpoints();
     const endpoint_state* choose_endpoint();
     std::optional<daemon::network_address> find_copy_source(const endpoint_id& target) const;
+    void note_history(const endpoint_id& engine);
     daemon::awaitable<endpoint_outcome> attempt(endpoint_record to);
     daemon::awaitable<bool> open_connection(endpoint_record to);
     daemon::awaitable<endpoint_outcome> read_answer(endpoint_record from, millis wait);
@@ -73,6 +74,7 @@
     bool answered_ = false;
     attempt_history history_;
     std::vector<endpoint_id> tried_;
+    chat_homes homes_;
     endpoint_id last_endpoint_;
     incoming answer_;
     std::string body_;
--- a/endivestage/gateway/peer_service.cpp
+++ b/endivestage/gateway/peer_service.cpp
@@ -4,6 +4,7 @@
 #include <endivestage/daemon/logging.hpp>
 
 #include <algorithm>
+#include <boost/endian/conversion.hpp>
 #include <chrono>
 #include <cmath>
 #include <utility>
@@ -21,8 +22,36 @@
 {
 
 constexpr std::chrono::milliseconds tick_period{50};
-/// About 43 bytes each; a datagram stays below the usual packet size.
-constexpr std::size_t sightings_per_datagram = 25;
+/// First byte of a datagram with sightings; packets of the failure detector begin with '{'.
+constexpr char sightings_tag = 'S';
+constexpr std::size_t sighting_bytes = 16;
+/// A datagram stays below the usual packet size.
+constexpr std::size_t sightings_per_datagram = 64;
+
+std::string encode_sightings(std::span<const sighting> news)
+{
+    std::string text(1 + news.size() * sighting_bytes, sightings_tag);
+    unsigned char* position = reinterpret_cast<unsigned char*>(text.data()) + 1;
+    for (const sighting& seen : news)
+    {
+        boost::endian::store_little_u64(position, seen.part);
+        boost::endian::store_little_u64(position + 8, seen.engine);
+        position += sighting_bytes;
+    }
+    return text;
+}
+
+std::vector<sighting> decode_sightings(std::string_view text)
+{
+    std::vector<sighting> news;
+    for (std::size_t n = 1; n + sighting_bytes <= text.size(); n += sighting_bytes)
+    {
+        const unsigned char* position = reinterpret_cast<const unsigned char*>(text.data()) + n;
+        news.push_back({boost::endian::load_little_u64(position),
+                        boost::endian::load_little_u64(position + 8)});
+    }
+    return news;
+}
 /// A dead router may still run behind a cut: it keeps its part of shared limits for this long.
 constexpr millis dead_keeps_share{15000};
 
@@ -84,7 +113,7 @@
                 return;
             }
             const std::string_view text(buf_.data(), ec ? 0 : n);
-            if (text.starts_with('['))
+            if (text.starts_with(sightings_tag))
             {
                 take_sightings(text);
             }
@@ -157,22 +186,17 @@
 void peer_service::spread(std::span<const sighting> news)
 {
     std::vector<relay_address> peers = live();
-    // Push to ln(n) + 2 peers each: with fewer, some routers of a large fleet stay out.
+    // Push to ln(n) + 1 peers each: few routers stay out, and these copy once more than needed.
     const std::size_t fan_out = std::min(
-        peers.size(), static_cast<std::size_t>(std::log(static_cast<double>(peers.size() + 1)) + 2));
+        peers.size(), static_cast<std::size_t>(std::log(static_cast<double>(peers.size() + 1)) + 1));
     for (std::size_t n = 0; n < fan_out; ++n)
     {
         std::swap(peers[n], peers[n + random_.below(peers.size() - n)]);
     }
     for (std::size_t start = 0; start < news.size(); start += sightings_per_datagram)
     {
-        json::array pairs;
-        for (const sighting& seen : news.subspan(start).first(
-                 std::min(sightings_per_datagram, news.size() - start)))
-        {
-            pairs.emplace_back(json::array{seen.part, seen.engine});
-        }
-        const std::string text = json::serialize(pairs);
+        const std::string text = encode_sightings(
+            news.subspan(start).first(std::min(sightings_per_datagram, news.size() - start)));
         for (std::size_t n = 0; n < fan_out; ++n)
         {
             send_text(peers[n].address.host, peers[n].address.port, text);
@@ -182,25 +206,11 @@
 
 void peer_service::take_sightings(std::string_view text)
 {
-    boost::system::error_code ec;
-    const json::value parsed = json::parse(text, ec);
-    if (ec || !parsed.is_array() || !sighted_)
+    for (const sighting& seen : decode_sightings(text))
     {
-        return;
-    }
-    for (const json::value& pair : parsed.get_array())
-    {
-        if (!pair.is_array() || pair.get_array().size() != 2)
-        {
-            continue;
-        }
-        boost::system::error_code bad;
-        const std::uint64_t part = pair.get_array()[0].to_number<std::uint64_t>(bad);
-        const std::uint64_t engine =
-            bad ? 0 : pair.get_array()[1].to_number<std::uint64_t>(bad);
-        if (!bad)
+        if (sighted_)
         {
-            sighted_({part, engine});
+            sighted_(seen);
         }
     }
 }
--- a/endivestage/gateway/replication_service.cpp
+++ b/endivestage/gateway/replication_service.cpp
@@ -11,6 +11,7 @@
 #include <charconv>
 #include <chrono>
 #include <utility>
+#include <zlib.h>
 
 namespace endivestage::gateway
 {
@@ -28,22 +29,28 @@
 
 /// Bounds the age of the operator's table at a relay; two such waits stay below
 /// source_choice_config::stale_after.
-constexpr millis operations_wait{700};
-constexpr millis endpoints_wait{1500};
+constexpr millis operations_wait{600};
+constexpr millis endpoints_wait{3000};
 constexpr millis routers_wait{10000};
-/// Records of endpoints change often; a pause lets several changes share one call.
-constexpr millis endpoints_pause{150};
-constexpr millis relay_wait{350};
-constexpr millis relay_timeout{900};
-constexpr millis relay_silence{800};
+/// Records of endpoints change often; a pause lets several changes share one call. It adds to the
+/// time after which a leaving endpoint gets nothing, which is two seconds.
+constexpr millis endpoints_pause{350};
+constexpr millis relay_wait{250};
+constexpr millis relay_timeout{600};
+constexpr millis relay_silence{600};
 /// Pause after the table service failed, and the most that repeated failures lengthen it to.
 constexpr millis first_retry{120};
 constexpr millis longest_retry{500};
+/// Failures in a row after which a router asks its peers instead.
+constexpr std::int64_t failures_to_give_up = 2;
 /// Without an answer for this long the service was away, and records may have lapsed meanwhile.
 constexpr millis outage_after{2500};
 /// Records that lapsed during an outage are written again within this time.
 constexpr millis settling_time{2500};
 constexpr millis idle_poll{50};
+/// Smaller answers fit into one packet as they are.
+constexpr std::size_t least_compressed_bytes = 1200;
+constexpr const char* unpacked_size_field = "Unpacked-Size";
 constexpr std::size_t relay_answer_limit = 16UL * 1024 * 1024;
 
 millis wait_of(shared_table table)
@@ -94,6 +101,51 @@
     return encoded;
 }
 
+/// A configuration is tens of kilobytes of repetitive text, sent to every router at each change.
+void compress(http_response& answer)
+{
+    if (answer.body.size() < least_compressed_bytes)
+    {
+        return;
+    }
+    uLongf size = compressBound(answer.body.size());
+    std::string packed(size, '\0');
+    const int outcome =
+        compress2(reinterpret_cast<Bytef*>(packed.data()), &size,
+                  reinterpret_cast<const Bytef*>(answer.body.data()), answer.body.size(),
+                  Z_BEST_SPEED);
+    if (outcome == Z_OK)
+    {
+        answer.fields.emplace_back("Content-Encoding", "deflate");
+        answer.fields.emplace_back(unpacked_size_field, std::to_string(answer.body.size()));
+        packed.resize(size);
+        answer.body = std::move(packed);
+    }
+}
+
+/// \returns The answer's body as it was before \ref compress, or errc::invalid_request.
+result<std::string> decompress(const http_response& head, std::string body)
+{
+    if (daemon::find_field(head.fields, "Content-Encoding") != "deflate")
+    {
+        return body;
+    }
+    uLongf size = parse_revision(daemon::find_field(head.fields, unpacked_size_field));
+    if (size > relay_answer_limit)
+    {
+        return make_error_code(errc::too_large);
+    }
+    std::string unpacked(size, '\0');
+    const int outcome =
+        uncompress(reinterpret_cast<Bytef*>(unpacked.data()), &size,
+                   reinterpret_cast<const Bytef*>(body.data()), body.size());
+    if (outcome != Z_OK || size != unpacked.size())
+    {
+        return make_error_code(errc::invalid_request);
+    }
+    return unpacked;
+}
+
 change_batch decode_batch(const json::object& encoded)
 {
     change_batch batch;
@@ -132,11 +184,12 @@
 }
 
 replication_service::replication_service(asio::io_context& context, const clock& time,
-                                         table_source& source, source_choice choice,
-                                         replication_callbacks callbacks)
-    : context_(context),
+                                         table_source& source, router_id self,
+                                         source_choice choice, replication_callbacks callbacks)
+    : self_(std::move(self)),
+      context_(context),
       time_(time),
-      source_(source),
+      service_(source),
       choice_(std::move(choice)),
       callbacks_(std::move(callbacks))
 {
@@ -147,8 +200,9 @@
     }
 }
 
-void replication_service::start()
+void replication_service::start(const change_batch& routers)
 {
+    apply(shared_table::routers, routers, false);
     for (const shared_table table : shared_tables)
     {
         asio::co_spawn(context_, follow_service(table), asio::detached);
@@ -237,7 +291,7 @@
     state.last_success = now;
 }
 
-awaitable<millis> replication_service::poll_service(shared_table table)
+awaitable<millis> replication_service::poll_service(shared_table table, millis wait)
 {
     const std::optional<std::uint64_t> known = replicas_.at(table).revision();
     const time_point sent = time_.now();
@@ -246,16 +300,20 @@
     // After an outage a list shows at once what a feed would tell row by row.
     if (known)
     {
-        answer = co_await source_.changes(table, *known, wait_of(table));
+        answer = co_await service_.changes(table, *known, wait);
     }
     if (!answer && answer.error() == errc::stale_view)
     {
-        answer = co_await source_.list(table);
+        answer = co_await service_.list(table);
     }
     note_service(table, answer ? std::error_code{} : answer.error());
     if (!answer)
     {
         const std::int64_t failures = services_.at(table).failures;
+        if (table == shared_table::operations && failures >= failures_to_give_up)
+        {
+            choice_.failed(self_, time_.now());
+        }
         co_return std::min(longest_retry, first_retry * std::min<std::int64_t>(failures, 8));
     }
     service_clock_.observe(sent, answer->stamp);
@@ -275,9 +333,9 @@
     for (;;)
     {
         millis pause = idle_poll;
-        if (direct_ || !replicas_.at(table).revision())
+        if (relaying_ || !replicas_.at(table).revision())
         {
-            pause = co_await poll_service(table);
+            pause = co_await poll_service(table, wait_of(table));
         }
         if (pause > millis{0})
         {
@@ -286,6 +344,35 @@
     }
 }
 
+void replication_service::note_source(const change_source& source)
+{
+    const bool relaying = source.what == change_source::kind::service;
+    if (relaying != relaying_ || source.relay != source_)
+    {
+        log_event(log_level::info, "source_changed",
+                  {{"source", source.relay.empty() ? std::string("table_service")
+                                                   : source.relay.str()},
+                   {"relaying", relaying},
+                   {"age_ms", age().value_or(millis{-1})}});
+    }
+    relaying_ = relaying;
+    source_ = source.relay;
+}
+
+awaitable<void> replication_service::refresh()
+{
+    const millis pause = co_await poll_service(shared_table::operations, millis{0});
+    if (services_.at(shared_table::operations).reached)
+    {
+        co_await poll_service(shared_table::endpoints, millis{0});
+    }
+    else
+    {
+        choice_.failed(self_, time_.now());
+        co_await sleep(pause);
+    }
+}
+
 awaitable<void> replication_service::follow_relays()
 {
     for (;;)
@@ -297,21 +384,24 @@
             candidates.push_back(relay.who);
         }
         const change_source source = choice_.choose(candidates, age(), time_.now());
-        const bool direct = !source.relay || !complete();
-        if (direct != direct_)
+        if (!complete())
         {
-            log_event(log_level::info, "source_changed",
-                      {{"source", direct ? std::string("table_service") : source.relay->str()},
-                       {"age_ms", age().value_or(millis{-1})}});
+            co_await sleep(idle_poll);
+            continue;
         }
-        direct_ = direct;
-        if (direct)
+        note_source(source);
+        if (source.what == change_source::kind::service)
         {
             co_await sleep(idle_poll * 2);
             continue;
         }
+        if (source.what == change_source::kind::refresh)
+        {
+            co_await refresh();
+            continue;
+        }
         const auto it = std::find_if(live.begin(), live.end(), [&](const relay_address& relay)
-                                     { return relay.who.id == *source.relay; });
+                                     { return relay.who.id == source.relay; });
         relay_address chosen = *it;
         co_await ask_relay(std::move(chosen));
     }
@@ -349,6 +439,10 @@
     {
         result<std::string> body =
             co_await daemon::read_body(*relay_, relay_timeout, relay_answer_limit);
+        if (body)
+        {
+            body = decompress(*head, std::move(*body));
+        }
         ec = body ? take_peer_answer(*body, asked) : body.error();
     }
     else if (!ec)
@@ -370,7 +464,6 @@
     {
         return answer.error();
     }
-    bool older = false;
     for (const json::value& entry : daemon::get_array(*answer, "tables"))
     {
         if (!entry.is_object())
@@ -384,14 +477,12 @@
             if (name == to_string(table))
             {
                 const change_batch batch = decode_batch(encoded);
-                older = older || (table == shared_table::operations &&
-                                  batch.revision < replicas_.at(table).revision().value_or(0));
                 apply(table, batch, daemon::get_flag(encoded, "settling"));
             }
         }
     }
     const std::int64_t age_ms = daemon::get_number(*answer, "age_ms", -1);
-    if (age_ms < 0 || older)
+    if (age_ms < 0 || choice_.stale_relay(millis{age_ms}))
     {
         return make_error_code(errc::stale_view);
     }
@@ -421,8 +512,12 @@
         {
             const std::uint64_t since = parse_revision(target.parameter(to_string(table)));
             const change_batch batch = replicas_.at(table).changes_since(since);
-            any = any || !batch.rows.empty();
-            tables.push_back(encode_batch(table, batch, settling(table)));
+            // A table without news is left out: most answers only bear the age.
+            if (batch.complete || !batch.rows.empty())
+            {
+                any = true;
+                tables.push_back(encode_batch(table, batch, settling(table)));
+            }
         }
         const time_point now = time_.now();
         if (any || now >= until)
@@ -431,6 +526,7 @@
             body["age_ms"] = age().value_or(millis{-1}).count;
             body["tables"] = std::move(tables);
             answer.body = json::serialize(body);
+            compress(answer);
             co_return answer;
         }
         co_await wait_for_change(until - now);
--- a/endivestage/gateway/replication_service.hpp
+++ b/endivestage/gateway/replication_service.hpp
@@ -45,10 +45,11 @@
 public:
     /// \param time,source Must outlive the io_context's run.
     replication_service(boost::asio::io_context& context, const clock& time, table_source& source,
-                        source_choice choice, replication_callbacks callbacks);
+                        router_id self, source_choice choice, replication_callbacks callbacks);
 
     /// \brief Starts the coroutines.
-    void start();
+    /// \param routers The routers' table, which was read before.
+    void start(const change_batch& routers);
 
     /// \returns Whether all tables were read at least once.
     bool complete() const;
@@ -60,13 +61,15 @@
     std::optional<millis> age() const;
 
     std::uint64_t store_calls() const { return store_calls_; }
-    bool direct() const { return direct_; }
+    bool relaying() const { return relaying_; }
 
     const table_replica& replica(shared_table table) const { return replicas_.at(table); }
 
 private:
     daemon::awaitable<void> follow_service(shared_table table);
-    daemon::awaitable<millis> poll_service(shared_table table);
+    daemon::awaitable<millis> poll_service(shared_table table, millis wait);
+    daemon::awaitable<void> refresh();
+    void note_source(const change_source& source);
     daemon::awaitable<void> follow_relays();
     daemon::awaitable<void> ask_relay(relay_address relay);
     std::error_code take_peer_answer(std::string_view body, time_point asked);
@@ -85,9 +88,10 @@
         time_point settled_at{-1};   ///< Deletions before this may be lapses of an outage.
     };
 
+    router_id self_;
     boost::asio::io_context& context_;
     const clock& time_;
-    table_source& source_;
+    table_source& service_;
     source_choice choice_;
     replication_callbacks callbacks_;
     std::map<shared_table, table_replica> replicas_;
@@ -97,7 +101,8 @@
     std::set<boost::asio::steady_timer*> waiters_;
     std::shared_ptr<daemon::http_connection> relay_;
     router_id relay_id_;
-    bool direct_ = true;
+    bool relaying_ = false;
+    router_id source_; ///< Relay asked last; empty for the table service.
     std::uint64_t store_calls_ = 0;
 };
 
--- a/endivestage/gateway/server.cpp
+++ b/endivestage/gateway/server.cpp
@@ -140,23 +140,25 @@
     self.port = settings_.peer_port;
     self.udp_port = settings_.peer_port;
     self.incarnation = static_cast<std::uint64_t>(time_.wall_now().since_epoch);
-    table_replica routers;
+    change_batch listed_routers;
     for (;;)
     {
         const result<timed_batch> listed = co_await ports_.tables->list(shared_table::routers);
         if (listed)
         {
-            routers.apply(listed->batch);
+            listed_routers = listed->batch;
             break;
         }
         log_event(log_level::warning, "join_delayed", {listed.error()});
         co_await sleep(join_retry);
     }
-    const replicated_row* earlier = routers.find(settings_.name.view());
-    if (earlier != nullptr)
+    for (const replicated_row& row : listed_routers.rows)
     {
-        // The wall clock may have stepped back since the earlier run of this router.
-        self.incarnation = std::max(self.incarnation, peer_service::incarnation(*earlier) + 1);
+        if (row.key == settings_.name.view())
+        {
+            // The wall clock may have stepped back since the earlier run of this router.
+            self.incarnation = std::max(self.incarnation, peer_service::incarnation(row) + 1);
+        }
     }
     peers_ =
         std::make_unique<peer_service>(context_, time_, std::move(self), settings_.cpu_share);
@@ -184,8 +186,8 @@
         return live;
     };
     replication_ = std::make_unique<replication_service>(context_, time_, *ports_.tables,
-                                                         std::move(choice), std::move(callbacks));
-    replication_->start();
+                                                         settings_.name, std::move(choice), std::move(callbacks));
+    replication_->start(listed_routers);
     peers_->on_sighting(
         [this](const sighting& seen)
         {
--- a/endivestage/replication/source_choice.cpp
+++ b/endivestage/replication/source_choice.cpp
@@ -5,52 +5,59 @@
 namespace endivestage
 {
 
-std::vector<router_id> source_choice::relays(std::span<const relay_candidate> live) const
+std::vector<router_id> source_choice::relays(std::span<const relay_candidate> live,
+                                             time_point now) const
 {
-    std::vector<relay_candidate> all(live.begin(), live.end());
-    std::sort(all.begin(), all.end(),
+    std::vector<relay_candidate> trusted;
+    for (const relay_candidate& candidate : live)
+    {
+        const auto it = distrusted_until_.find(candidate.id);
+        if (it == distrusted_until_.end() || it->second <= now)
+        {
+            trusted.push_back(candidate);
+        }
+    }
+    std::sort(trusted.begin(), trusted.end(),
               [](const relay_candidate& a, const relay_candidate& b) { return a.id < b.id; });
     std::vector<weighted_node> nodes;
-    nodes.reserve(all.size());
-    for (const relay_candidate& candidate : all)
+    nodes.reserve(trusted.size());
+    for (const relay_candidate& candidate : trusted)
     {
         nodes.push_back({hash64(candidate.id.view()), candidate.weight});
     }
-    const std::size_t wanted = config_.relays + (all.size() >= config_.large_fleet ? 1 : 0);
+    const std::size_t wanted = config_.relays + (live.size() >= config_.large_fleet ? 1 : 0);
     std::vector<router_id> chosen;
     for (const std::size_t n : rank_by_rendezvous(hash64("relay"), nodes, wanted))
     {
-        chosen.push_back(all[n].id);
+        chosen.push_back(trusted[n].id);
     }
     return chosen;
 }
 
 change_source source_choice::choose(std::span<const relay_candidate> live,
-                                    std::optional<millis> age, time_point now)
+                                    std::optional<millis> age, time_point now) const
 {
-    const std::vector<router_id> ranked = relays(live);
+    const std::vector<router_id> ranked = relays(live, now);
     if (std::find(ranked.begin(), ranked.end(), self_) != ranked.end())
     {
-        return {};
+        return {change_source::kind::service, {}};
     }
-    if (!age || *age > config_.stale_after)
+    // A router that has just failed to reach the table service asks others however old its copy is.
+    const auto failed = distrusted_until_.find(self_);
+    const bool may_refresh = failed == distrusted_until_.end() || failed->second <= now;
+    const bool stale = !age || *age > config_.stale_after;
+    if (ranked.empty() || (stale && may_refresh))
     {
-        direct_until_ = now + config_.direct_period;
+        return {change_source::kind::refresh, {}};
     }
     std::vector<const relay_candidate*> usable;
     for (const relay_candidate& candidate : live)
     {
-        const auto it = distrusted_until_.find(candidate.id);
-        if (std::find(ranked.begin(), ranked.end(), candidate.id) != ranked.end() &&
-            (it == distrusted_until_.end() || it->second <= now))
+        if (std::find(ranked.begin(), ranked.end(), candidate.id) != ranked.end())
         {
             usable.push_back(&candidate);
         }
     }
-    if (now < direct_until_ || usable.empty())
-    {
-        return {};
-    }
     // Within the zone first; among equals each router takes its own, which spreads the load.
     const std::uint64_t seed = hash64(self_.view());
     const auto best = std::min_element(
@@ -61,7 +68,7 @@
             const bool b_far = b->zone != zone_;
             return a_far != b_far ? b_far : hash64(a->id.view(), seed) < hash64(b->id.view(), seed);
         });
-    return {(*best)->id};
+    return {change_source::kind::relay, (*best)->id};
 }
 
 void source_choice::failed(const router_id& relay, time_point now)
--- a/endivestage/replication/source_choice.hpp
+++ b/endivestage/replication/source_choice.hpp
@@ -26,23 +26,35 @@
     std::size_t relays = 2;       ///< Routers that follow the table service for all.
     std::size_t large_fleet = 30; ///< From this size on one relay more, for the load.
     /// Knowledge older than this is refreshed from the table service directly. Above the age that
-    /// two polls in a row give, below the bounds within which changes must be in force.
-    millis stale_after{1500};
-    millis direct_period{3000}; ///< How long the direct way is kept after relays were stale.
-    millis distrust{2000};      ///< A relay that failed is not asked again before.
+    /// two polls in a row and one failed relay give, below the bounds within which changes must be
+    /// in force.
+    millis stale_after{1900};
+    /// A relay whose copy is older than this has lost the table service: its next poll is overdue.
+    millis relay_stale_after{1500};
+    millis distrust{3000};     ///< A router that failed as a relay is passed over for this long.
 };
 
 /// \brief Where the next changes come from.
 struct change_source
 {
-    std::optional<router_id> relay; ///< Nothing: the table service.
+    enum class kind
+    {
+        relay,   ///< Another router, \ref change_source::relay.
+        service, ///< The table service all the time: this router relays.
+        refresh, ///< The table service once, since the copy is stale or no relay is left.
+    };
+
+    kind what = kind::refresh;
+    router_id relay;
 };
 
 /// \brief Chooses a router's source without agreement among routers.
 ///
-/// All routers rank the live ones by the same hash and the first few relay. Routers that disagree
-/// about who is alive have one relay too many or ask one that does not relay; what that one answers
-/// is then as old as its own copy, and a copy too old sends the asker to the table service.
+/// All routers rank the live ones by the same hash and the first few relay. A relay that does not
+/// answer, or that has lost the table service, is passed over and the next in rank is asked; a
+/// router that finds itself among the first follows the table service. Routers that disagree about
+/// who relays have one relay too many or ask one that follows a relay itself; the age that each
+/// answer bears adds up, and a copy that gets too old sends its router to the table service.
 class source_choice
 {
 public:
@@ -56,19 +68,22 @@
     /// \param live Routers believed alive, this one included or not.
     /// \param age Of the router's copy; nothing before the first batch.
     change_source choose(std::span<const relay_candidate> live, std::optional<millis> age,
-                         time_point now);
+                         time_point now) const;
 
-    /// \brief The relay did not answer, or its answer was no younger than the router's own copy.
+    /// \brief The relay did not answer or its copy is stale; or, for this router itself, the table
+    /// service does not answer it.
     void failed(const router_id& relay, time_point now);
 
     /// \returns The relays among \p live, best first.
-    std::vector<router_id> relays(std::span<const relay_candidate> live) const;
+    std::vector<router_id> relays(std::span<const relay_candidate> live, time_point now) const;
+
+    /// \returns Whether a relay's copy of this age shows that it has lost the table service.
+    bool stale_relay(millis age) const { return age > config_.relay_stale_after; }
 
 private:
     source_choice_config config_;
     router_id self_;
     zone_id zone_;
-    time_point direct_until_{-1};
     std::map<router_id, time_point> distrusted_until_;
 };
 
--- a/endivestage/routing/endpoint_choice.cpp
+++ b/endivestage/routing/endpoint_choice.cpp
@@ -15,6 +15,7 @@
     double load = 0.0;
     bool avoided = false;
     bool overloaded = false;
+    bool without_history = false;
     double score = 0.0; ///< Higher is better.
 };
 
@@ -32,6 +33,12 @@
     return *middle;
 }
 
+double chat_score(std::uint64_t chat, const endpoint_state& endpoint)
+{
+    return rendezvous_score(chat, endpoint.hash,
+                            std::max<std::uint32_t>(1, endpoint.record.slots));
+}
+
 bool contains(std::span<const endpoint_id> ids, const endpoint_id& id)
 {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -60,9 +67,11 @@
                     endpoint->failure_rate > usual_rate + config.failure_margin;
         total += c.load;
         const double weight = std::max<std::uint32_t>(1, endpoint->record.slots);
-        c.score = input.chat ? rendezvous_score(*input.chat, endpoint->hash, weight)
+        c.score = input.chat ? chat_score(*input.chat, *endpoint)
                              : -c.load / weight -
                                    0.5 * rendezvous_score(input.random, endpoint->hash) * 1e-6;
+        c.without_history = input.chat && input.prefixes != nullptr &&
+                            !input.prefixes->holds(*input.chat, endpoint->hash, input.now);
         if (!contains(input.tried, endpoint->record.id))
         {
             candidates.push_back(c);
@@ -77,8 +86,8 @@
     std::sort(candidates.begin(), candidates.end(),
               [](const candidate& a, const candidate& b)
               {
-                  return std::make_tuple(a.avoided, a.overloaded, -a.score) <
-                         std::make_tuple(b.avoided, b.overloaded, -b.score);
+                  return std::make_tuple(a.avoided, a.overloaded, a.without_history, -a.score) <
+                         std::make_tuple(b.avoided, b.overloaded, b.without_history, -b.score);
               });
     ranked.reserve(candidates.size());
     for (const candidate& c : candidates)
@@ -88,4 +97,28 @@
     return ranked;
 }
 
+chat_homes find_homes(std::span<const endpoint_state* const> endpoints, std::uint64_t chat)
+{
+    chat_homes homes;
+    double best = 0.0;
+    double next = 0.0;
+    for (const endpoint_state* endpoint : endpoints)
+    {
+        const double score = chat_score(chat, *endpoint);
+        if (homes.first == 0 || score > best)
+        {
+            homes.second = homes.first;
+            next = best;
+            homes.first = endpoint->hash;
+            best = score;
+        }
+        else if (homes.second == 0 || score > next)
+        {
+            homes.second = endpoint->hash;
+            next = score;
+        }
+    }
+    return homes;
+}
+
 } // namespace endivestage
--- a/endivestage/routing/endpoint_choice.hpp
+++ b/endivestage/routing/endpoint_choice.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <endivestage/routing/endpoint_directory.hpp>
+#include <endivestage/routing/prefix_directory.hpp>
 #include <endivestage/routing/send_limits.hpp>
 
 #include <cstdint>
@@ -33,17 +34,33 @@
     std::size_t routers = 1;
     /// Hash of the chat whose history may be cached; nothing for requests without history.
     std::optional<std::uint64_t> chat;
+    /// Engines that hold the chat's history; null when none is known.
+    const prefix_directory* prefixes = nullptr;
     std::uint64_t random = 0; ///< Breaks ties among endpoints of equal load.
 };
 
 /// \brief Ranks the endpoints for a request, best first.
 ///
 /// With a chat: the chat's rendezvous order, so that returning chats find their cache without any
-/// table; engines above the load bound come after those below it. Without: least loaded first.
+/// table; engines that are known to hold the history come first, so that a chat stays where it is
+/// when engines join; engines above the load bound come after those below it. Without: least loaded first.
 /// Cold endpoints keep their rank; the caller sends to them within a \ref cold_share only. Avoided
 /// endpoints come last, so that a request is still tried when all are avoided.
 std::vector<const endpoint_state*> rank_endpoints(const endpoint_directory& directory,
                                                   const choice_input& input,
                                                   const choice_config& config);
 
+/// \brief The first two endpoints for a chat by rendezvous hashing alone.
+///
+/// Every router knows them without being told: a router that knows nothing else of a chat copies its
+/// history from these.
+struct chat_homes
+{
+    std::uint64_t first = 0;  ///< Hash of the endpoint's id; 0 without endpoints.
+    std::uint64_t second = 0; ///< 0 with fewer than two endpoints.
+};
+
+/// \returns The homes of a chat among \p endpoints.
+chat_homes find_homes(std::span<const endpoint_state* const> endpoints, std::uint64_t chat);
+
 } // namespace endivestage
--- a/endivestage/routing/prefix_directory.cpp
+++ b/endivestage/routing/prefix_directory.cpp
@@ -17,6 +17,20 @@
                        { return h.engine == engine && now - h.seen < lifetime_; });
 }
 
+bool prefix_directory::holds(std::uint64_t part, std::uint64_t engine, time_point now) const
+{
+    const entry* known = find(part);
+    return known != nullptr && holds(*known, engine, now);
+}
+
+bool prefix_directory::knows(std::uint64_t part, time_point now) const
+{
+    const entry* known = find(part);
+    return known != nullptr &&
+           std::any_of(known->holders.begin(), known->holders.end(),
+                       [&](const holder& h) { return now - h.seen < lifetime_; });
+}
+
 prefix_directory::entry& prefix_directory::touch(std::uint64_t part)
 {
     const auto [it, inserted] = parts_.try_emplace(part);
--- a/endivestage/routing/prefix_directory.hpp
+++ b/endivestage/routing/prefix_directory.hpp
@@ -70,6 +70,12 @@
                                              std::uint64_t target, Usable usable,
                                              std::uint32_t least_tokens, time_point now) const;
 
+    /// \returns Whether the engine is known to hold a part.
+    bool holds(std::uint64_t part, std::uint64_t engine, time_point now) const;
+
+    /// \returns Whether any engine is known to hold a part.
+    bool knows(std::uint64_t part, time_point now) const;
+
     std::size_t size() const { return parts_.size(); }
 
 private:
@@ -81,9 +87,9 @@
     };
 
     /// More holders than this are not told about: there are sources enough.
-    static constexpr std::size_t most_holders = 16;
+    static constexpr std::size_t most_holders = 8;
     /// Routers that start learn what is told again.
-    static constexpr millis announce_again{20000};
+    static constexpr millis announce_again{45000};
 
     struct entry
     {
--- /dev/null
+++ b/tests/source_choice_test.cpp
@@ -0,0 +1,126 @@
+#include <endivestage/replication.hpp>
+
+#include <catch2/catch.hpp>
+#include <algorithm>
+
+using namespace endivestage;
+
+namespace
+{
+
+using kind = change_source::kind;
+
+std::vector<relay_candidate> make_fleet(int routers)
+{
+    std::vector<relay_candidate> fleet;
+    for (int n = 0; n < routers; ++n)
+    {
+        relay_candidate candidate;
+        candidate.id = router_id("router-" + std::to_string(n));
+        candidate.zone = zone_id("zone-" + std::to_string(n % 4));
+        fleet.push_back(candidate);
+    }
+    return fleet;
+}
+
+source_choice make_choice(const relay_candidate& self)
+{
+    return source_choice({}, self.id, self.zone);
+}
+
+constexpr millis fresh{300};
+constexpr time_point start{0};
+
+int count_of(const std::vector<relay_candidate>& fleet, kind what)
+{
+    return static_cast<int>(
+        std::count_if(fleet.begin(), fleet.end(),
+                      [&](const relay_candidate& self)
+                      { return make_choice(self).choose(fleet, fresh, start).what == what; }));
+}
+
+} // namespace
+
+// Load: calls to the table service are dear. In a fleet of any size only a few routers make them.
+TEST_CASE("few routers follow the table service")
+{
+    for (const int size : {2, 6, 9, 80, 400})
+    {
+        const std::vector<relay_candidate> fleet = make_fleet(size);
+        const int relays = count_of(fleet, kind::service);
+        REQUIRE(relays == (size >= 30 ? 3 : 2));
+        REQUIRE(count_of(fleet, kind::refresh) == 0);
+    }
+}
+
+// Fault: relays are cut from the table service (node_cut, platform_down of some hosts).
+TEST_CASE("a relay that failed is passed over and the next in rank is asked")
+{
+    const std::vector<relay_candidate> fleet = make_fleet(9);
+    for (const relay_candidate& self : fleet)
+    {
+        source_choice choice = make_choice(self);
+        const change_source first = choice.choose(fleet, fresh, start);
+        if (first.what != kind::relay)
+        {
+            continue;
+        }
+        choice.failed(first.relay, start);
+        const change_source second = choice.choose(fleet, fresh, start);
+        REQUIRE((second.what == kind::service || second.relay != first.relay));
+        REQUIRE(choice.choose(fleet, fresh, {60000}).relay == first.relay);
+    }
+}
+
+// Fault: the table service turns this router away. It must learn from others at once.
+TEST_CASE("a router that the table service turns away asks a relay however old its copy is")
+{
+    const std::vector<relay_candidate> fleet = make_fleet(9);
+    for (const relay_candidate& self : fleet)
+    {
+        source_choice choice = make_choice(self);
+        choice.failed(self.id, start);
+        const change_source source = choice.choose(fleet, millis{9000}, start);
+        REQUIRE(source.what == kind::relay);
+        REQUIRE(source.relay != self.id);
+    }
+}
+
+// Guards against withdrawn keys that are served since all relays are stale.
+TEST_CASE("a stale copy is refreshed from the table service")
+{
+    const std::vector<relay_candidate> fleet = make_fleet(9);
+    for (const relay_candidate& self : fleet)
+    {
+        const change_source source = make_choice(self).choose(fleet, millis{2500}, start);
+        REQUIRE(source.what != kind::relay);
+    }
+    REQUIRE(make_choice(fleet[0]).choose({}, fresh, start).what == kind::refresh);
+}
+
+TEST_CASE("a copy counts as stale at a relay before its age reaches the bound of others")
+{
+    const source_choice choice = make_choice(make_fleet(1).front());
+    REQUIRE_FALSE(choice.stale_relay(millis{900}));
+    REQUIRE(choice.stale_relay(millis{1600}));
+}
+
+// Load: at 400 routers a relay answers a part of the fleet; none may get much more than its part.
+TEST_CASE("relays of a large fleet share the load")
+{
+    const std::vector<relay_candidate> fleet = make_fleet(400);
+    std::map<router_id, int> asked;
+    for (const relay_candidate& self : fleet)
+    {
+        const change_source source = make_choice(self).choose(fleet, fresh, start);
+        if (source.what == kind::relay)
+        {
+            ++asked[source.relay];
+        }
+    }
+    REQUIRE(asked.size() == 3);
+    for (const std::pair<const router_id, int>& entry : asked)
+    {
+        REQUIRE(entry.second < 300);
+    }
+}
--- /dev/null
+++ b/tests/table_replica_test.cpp
@@ -0,0 +1,85 @@
+#include <endivestage/replication.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+using namespace endivestage;
+
+namespace
+{
+
+replicated_row make_row(const std::string& key, std::uint64_t revision, bool deleted = false)
+{
+    return {key, deleted ? "" : "data-" + std::to_string(revision), revision, deleted};
+}
+
+} // namespace
+
+TEST_CASE("a list shows what changed and what went")
+{
+    table_replica replica;
+    REQUIRE(replica.apply({{make_row("a", 1), make_row("b", 2)}, 2, true}).size() == 2);
+    const std::vector<replicated_row> changed =
+        replica.apply({{make_row("b", 5)}, 6, true});
+    REQUIRE(changed.size() == 2);
+    REQUIRE(changed[0] == make_row("b", 5));
+    REQUIRE(changed[1].deleted);
+    REQUIRE(replica.find("a") == nullptr);
+}
+
+// Guards against going back: a relay or a late answer may hold an older state.
+TEST_CASE("an older batch changes nothing")
+{
+    table_replica replica;
+    replica.apply({{make_row("a", 7)}, 9, true});
+    REQUIRE(replica.apply({{make_row("a", 3)}, 4, true}).empty());
+    REQUIRE(replica.apply({{}, 8, true}).empty());
+    REQUIRE(replica.find("a")->revision == 7);
+    REQUIRE(replica.revision() == 9U);
+}
+
+// Guards against a follower that misses a deletion made before its relay started.
+TEST_CASE("a follower behind the history gets all rows")
+{
+    table_replica relay;
+    relay.apply({{make_row("a", 1), make_row("b", 2)}, 5, true});
+    table_replica follower;
+    follower.apply({{make_row("a", 1), make_row("c", 3)}, 3, true});
+    const change_batch batch = relay.changes_since(3);
+    REQUIRE(batch.complete);
+    follower.apply(batch);
+    REQUIRE(follower.find("c") == nullptr);
+    REQUIRE(follower.rows() == relay.rows());
+}
+
+// Property: whatever order of changes, gaps and lists, a follower that asks again and again ends
+// with its relay's rows.
+TEST_CASE("followers converge to their relay")
+{
+    rc::check(
+        "followers converge",
+        []
+        {
+            table_replica relay(4);
+            table_replica follower(4);
+            std::uint64_t revision = 1;
+            relay.apply({{}, revision, true});
+            const int steps = *rc::gen::inRange(1, 40);
+            for (int n = 0; n < steps; ++n)
+            {
+                const std::string key(1, static_cast<char>('a' + *rc::gen::inRange(0, 4)));
+                const bool deleted = *rc::gen::arbitrary<bool>();
+                ++revision;
+                relay.apply({{make_row(key, revision, deleted)}, revision, false});
+                if (*rc::gen::inRange(0, 5) == 0)
+                {
+                    follower.apply(relay.changes_since(follower.revision().value_or(0)));
+                }
+            }
+            follower.apply(relay.changes_since(follower.revision().value_or(0)));
+            RC_ASSERT(follower.rows() == relay.rows());
+            RC_ASSERT(follower.revision() == relay.revision());
+        });
+    SUCCEED();
+}
