--- a/endivestage/daemon/command_line.cpp
+++ b/endivestage/daemon/command_line.cpp
@@ -1,5 +1,5 @@
 #include <endivestage/daemon/commands.hpp>
-#include <endivestage/gateway/server.hpp>
+#include <endivestage/serving/server.hpp>
 
 #include <CLI/CLI.hpp>
 #include <functional>
@@ -20,6 +20,7 @@
 {
     remote_options remote;
     load_options load;
+    log_query logs;
     std::string settings_file;
     std::string folder;
     std::string author = "operator";
@@ -160,13 +161,21 @@
                     [&values] { return run_router(values.settings_file, values.check_only); });
     router->add_option("--settings", values.settings_file, "JSON settings file")->required();
     router->add_flag("--check", values.check_only, "Check the settings and exit");
-    CLI::App* gateway = add_command(
-        app, "gateway", "Run a router on the users' platform", code,
-        [&values] { return gateway::run_gateway(values.settings_file, platform::make_ports); });
-    gateway
+    CLI::App* serve = add_command(
+        app, "serve", "Run a router on the users' platform", code,
+        [&values] { return serving::run_server(values.settings_file, platform::make_ports); });
+    serve
         ->add_option("--settings", values.settings_file,
                      "JSON settings file; default: the one that the platform names")
         ->default_val(platform::settings_file());
+    CLI::App* logs = add_command(app, "logs", "Merge logs of several routers", code,
+                                 [&values] { return run_logs(values.logs); });
+    logs->add_option("files", values.logs.files, "Log files; - or none: standard input");
+    logs->add_option("--request", values.logs.request, "What explains this request");
+    logs->add_option("--event", values.logs.event, "Only this kind of event");
+    logs->add_option("--endpoint", values.logs.endpoint, "Only lines that name this endpoint");
+    logs->add_option("--on", values.logs.host, "Only lines of this router");
+    logs->add_flag("--failed", values.logs.failed, "Only requests that were not served");
     add_config_commands(app, values, code);
     add_zone_commands(app, values, code);
     add_request_commands(app, values, code);
--- a/endivestage/daemon/commands.hpp
+++ b/endivestage/daemon/commands.hpp
@@ -97,6 +97,21 @@
 /// \returns exit_failure when a request got no complete answer.
 int run_load(const load_options& options);
 
+/// \brief What `endivestage logs` reads and selects; empty members select all.
+struct log_query
+{
+    std::vector<std::string> files; ///< "-" or none: standard input.
+    std::string request;            ///< Lines that explain this request.
+    std::string event;
+    std::string endpoint;
+    std::string host;
+    bool failed = false; ///< Ends of requests that were not served.
+};
+
+/// \brief Merges log files of several routers and prints the selected lines in causal order.
+/// \returns exit_failure when a file cannot be read or nothing was selected.
+int run_logs(const log_query& query);
+
 /// \brief Parses the command line and runs the command.
 int run_command_line(int argc, char** argv);
 
--- a/endivestage/daemon/logging.cpp
+++ b/endivestage/daemon/logging.cpp
@@ -1,4 +1,6 @@
+#include <endivestage/daemon/internal/bounded_appender.hpp>
 #include <endivestage/daemon/logging.hpp>
+#include <endivestage/timeline/event_limit.hpp>
 
 #include <algorithm>
 #include <array>
@@ -15,6 +17,8 @@
 #include <mutex>
 #include <optional>
 #include <sstream>
+#include <unistd.h>
+#include <vector>
 
 namespace endivestage::daemon
 {
@@ -29,6 +33,10 @@
     std::optional<log4cplus::Initializer> library;
     std::optional<log4cplus::Logger> logger;
     log_options options;
+    bounded_appender* bounded = nullptr; ///< Owned by the logger; null when not bounded.
+    std::optional<event_limit> limit;
+    std::uint64_t reported = 0; ///< Lines dropped by the appender and reported so far.
+    std::int64_t started = 0;   ///< Steady clock, in milliseconds.
 };
 
 log_state& global()
@@ -130,6 +138,13 @@
     return std::string(text.data(), size) + "." + fraction + "Z";
 }
 
+std::int64_t steady_ms()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+}
+
 std::string to_text(double number)
 {
     std::ostringstream text;
@@ -176,6 +191,26 @@
     return line;
 }
 
+namespace
+{
+
+void write_line(log_state& state, log_level level, std::string_view event,
+                std::span<const log_field> fields)
+{
+    const std::int64_t wall = std::chrono::duration_cast<std::chrono::milliseconds>(
+                                  std::chrono::system_clock::now().time_since_epoch())
+                                  .count();
+    std::string line = format_event({wall}, state.options, level, event, fields);
+    if (state.bounded != nullptr)
+    {
+        // Readers order lines by this when the host's clock was set.
+        append_field(line, "up_ms", std::to_string(steady_ms() - state.started));
+    }
+    state.logger->forcedLog(to_log4cplus(level), line);
+}
+
+} // namespace
+
 std::error_code start_logging(const log_options& options)
 {
     if (!options.file.empty())
@@ -197,7 +232,17 @@
         state.library.emplace();
     }
     log4cplus::SharedAppenderPtr appender;
-    if (options.file.empty())
+    state.bounded = nullptr;
+    state.limit.reset();
+    state.reported = 0;
+    state.started = steady_ms();
+    if (options.bounded)
+    {
+        state.bounded = new bounded_appender(STDOUT_FILENO, options.most_queued);
+        appender = state.bounded;
+        state.limit.emplace(options.lines_per_s, options.lines_per_s * 2.0);
+    }
+    else if (options.file.empty())
     {
         appender = new log4cplus::ConsoleAppender(true, true);
     }
@@ -221,6 +266,11 @@
     const std::lock_guard lock(state.mutex);
     if (state.logger)
     {
+        if (state.bounded != nullptr)
+        {
+            state.bounded->flush();
+            state.bounded = nullptr;
+        }
         state.logger->removeAllAppenders();
         state.logger.reset();
     }
@@ -229,16 +279,42 @@
 void log_event(log_level level, std::string_view event, std::span<const log_field> fields)
 {
     assert(valid_key(event));
-    const std::int64_t wall = std::chrono::duration_cast<std::chrono::milliseconds>(
-                                  std::chrono::system_clock::now().time_since_epoch())
-                                  .count();
     log_state& state = global();
     const std::lock_guard lock(state.mutex);
-    if (state.logger && level >= state.options.lowest)
+    if (!state.logger || level < state.options.lowest)
+    {
+        return;
+    }
+    if (!state.limit || state.limit->admit(event, {steady_ms()}))
+    {
+        write_line(state, level, event, fields);
+    }
+}
+
+void flush_log()
+{
+    log_state& state = global();
+    const std::lock_guard lock(state.mutex);
+    if (state.bounded == nullptr)
+    {
+        return;
+    }
+    for (const std::pair<std::string, std::uint64_t>& kind : state.limit->take_dropped())
+    {
+        write_line(state, log_level::warning, "events_dropped",
+                   std::vector<log_field>{{"kind", kind.first},
+                                          {"count", kind.second},
+                                          {"reason", "rate"}});
+    }
+    const std::uint64_t dropped = state.bounded->dropped();
+    if (dropped > state.reported)
     {
-        state.logger->forcedLog(to_log4cplus(level),
-                                format_event({wall}, state.options, level, event, fields));
+        const std::uint64_t count = dropped - state.reported;
+        state.reported = dropped;
+        write_line(state, log_level::warning, "events_dropped",
+                   std::vector<log_field>{{"kind", "all"}, {"count", count}, {"reason", "reader"}});
     }
+    state.bounded->flush();
 }
 
 } // namespace endivestage::daemon
--- a/endivestage/daemon/logging.hpp
+++ b/endivestage/daemon/logging.hpp
@@ -26,10 +26,14 @@
 /// \brief Where the log goes and what stands in each line.
 struct log_options
 {
-    std::string file; ///< Appended to; empty for stderr.
+    std::string file; ///< Appended to; empty for stderr, or stdout when bounded.
     std::string host;
     std::string zone;
     log_level lowest = log_level::info; ///< Events below it are dropped.
+    /// Write to stdout without ever waiting for its reader, with a limit for each kind of event.
+    bool bounded = false;
+    double lines_per_s = 100.0; ///< Of one kind of event, when bounded; twice as many at once.
+    std::size_t most_queued = 2000; ///< Lines kept for a slow reader, when bounded.
 };
 
 /// \brief A key and its value in a line.
@@ -65,6 +69,10 @@
 /// \returns The system's error if the file cannot be opened for appending.
 std::error_code start_logging(const log_options& options);
 
+/// \brief Writes queued lines as far as the reader takes them, and one line for each kind of event
+/// of which lines were dropped. Call about every 250 ms when bounded.
+void flush_log();
+
 /// \brief Flushes and closes the log. Events after it are dropped.
 void stop_logging();
 
--- a/endivestage/routing.hpp
+++ b/endivestage/routing.hpp
@@ -8,6 +8,7 @@
 ///  - rank_endpoints (routing/endpoint_choice.hpp): which endpoints to try, in order
 ///  - decide_next_step, first_answer_wait (routing/attempt_policy.hpp): after a failed attempt
 ///  - repeat_budget, cold_share (routing/send_limits.hpp): shares of limits over all routers
+///  - load_board (routing/load_board.hpp): loads of engines as all routers saw them
 ///  - prefix_directory (routing/prefix_directory.hpp): engines that hold parts of prompts
 ///  - remote_clock, knowledge_lease (routing/knowledge_lease.hpp): how long copies may be trusted
 #pragma once
@@ -16,6 +17,7 @@
 #include <endivestage/routing/endpoint_choice.hpp>
 #include <endivestage/routing/endpoint_directory.hpp>
 #include <endivestage/routing/knowledge_lease.hpp>
+#include <endivestage/routing/load_board.hpp>
 #include <endivestage/routing/prefix_directory.hpp>
 #include <endivestage/routing/route_table.hpp>
 #include <endivestage/routing/send_limits.hpp>
--- a/endivestage/routing/endpoint_choice.cpp
+++ b/endivestage/routing/endpoint_choice.cpp
@@ -62,7 +62,7 @@
     {
         candidate c;
         c.endpoint = endpoint;
-        c.load = directory.estimated_load(*endpoint, input.now, input.routers);
+        c.load = directory.estimated_load(*endpoint, input.now);
         c.avoided = input.now < endpoint->avoid_until ||
                     endpoint->failure_rate > usual_rate + config.failure_margin;
         total += c.load;
--- a/endivestage/routing/endpoint_choice.hpp
+++ b/endivestage/routing/endpoint_choice.hpp
@@ -31,7 +31,6 @@
     std::span<const endpoint_state* const> endpoints; ///< Available ones of the service.
     std::span<const endpoint_id> tried;               ///< Not chosen again for this request.
     time_point now;
-    std::size_t routers = 1;
     /// Hash of the chat whose history may be cached; nothing for requests without history.
     std::optional<std::uint64_t> chat;
     /// Engines that hold the chat's history; null when none is known.
--- a/endivestage/routing/endpoint_directory.cpp
+++ b/endivestage/routing/endpoint_directory.cpp
@@ -211,13 +211,17 @@
     return it == by_hash_.end() ? nullptr : find(it->second);
 }
 
-double endpoint_directory::estimated_load(const endpoint_state& endpoint, time_point now,
-                                          std::size_t routers) const
+double endpoint_directory::estimated_load(const endpoint_state& endpoint, time_point now) const
 {
     const double own = static_cast<double>(endpoint.in_flight);
-    if (now - endpoint.load_reported_at > config_.report_lifetime)
+    const millis age = now - endpoint.load_reported_at;
+    if (age > config_.report_memory)
     {
-        return own * static_cast<double>(routers);
+        return own;
+    }
+    if (age > config_.report_lifetime)
+    {
+        return std::max(own, endpoint.load_reported / 2.0);
     }
     const double since = own - static_cast<double>(endpoint.in_flight_at_report);
     return std::max(own, endpoint.load_reported + since);
--- a/endivestage/routing/endpoint_directory.hpp
+++ b/endivestage/routing/endpoint_directory.hpp
@@ -70,7 +70,8 @@
     millis lapse_grace{1600};
     millis first_avoidance{400};    ///< After one failed connection; doubles with each further.
     millis longest_avoidance{4000}; ///< An endpoint that is back is found within this time.
-    millis report_lifetime{1500};   ///< Older load reports say nothing about the present.
+    millis report_lifetime{1500};   ///< Older load reports count half, as work has ended since.
+    millis report_memory{5000};     ///< Reports older than this say nothing about the present.
 };
 
 /// \brief The endpoints of all services, with what records, operators and outcomes say of them.
@@ -121,8 +122,7 @@
     const endpoint_state* find_by_hash(std::uint64_t hash) const;
 
     /// \returns The estimated number of requests that the endpoint holds from all routers.
-    double estimated_load(const endpoint_state& endpoint, time_point now,
-                          std::size_t routers) const;
+    double estimated_load(const endpoint_state& endpoint, time_point now) const;
 
     std::size_t size() const { return endpoints_.size(); }
 
--- a/endivestage/gateway/dialect.hpp
+++ b/endivestage/serving/dialect.hpp
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace endivestage::gateway
+namespace endivestage::serving
 {
 
 using daemon::http_fields;
@@ -86,4 +86,4 @@
     dialect& operator=(const dialect&) = default;
 };
 
-} // namespace endivestage::gateway
+} // namespace endivestage::serving
--- a/endivestage/gateway/endpoint_pool.cpp
+++ b/endivestage/serving/endpoint_pool.cpp
@@ -1,8 +1,8 @@
-#include <endivestage/gateway/endpoint_pool.hpp>
+#include <endivestage/serving/endpoint_pool.hpp>
 
 #include <utility>
 
-namespace endivestage::gateway
+namespace endivestage::serving
 {
 
 endpoint_pool::connection endpoint_pool::take(const endpoint_id& endpoint, millis most_idle)
@@ -69,4 +69,4 @@
     return total;
 }
 
-} // namespace endivestage::gateway
+} // namespace endivestage::serving
--- a/endivestage/gateway/endpoint_pool.hpp
+++ b/endivestage/serving/endpoint_pool.hpp
@@ -10,7 +10,7 @@
 #include <map>
 #include <memory>
 
-namespace endivestage::gateway
+namespace endivestage::serving
 {
 
 /// \brief Connections without a request, by endpoint. Not thread-safe.
@@ -53,4 +53,4 @@
     std::map<endpoint_id, std::deque<entry>> idle_;
 };
 
-} // namespace endivestage::gateway
+} // namespace endivestage::serving
--- a/endivestage/gateway/event_framer.cpp
+++ b/endivestage/serving/event_framer.cpp
@@ -1,9 +1,9 @@
-#include <endivestage/gateway/event_framer.hpp>
+#include <endivestage/serving/event_framer.hpp>
 
 #include <algorithm>
 #include <charconv>
 
-namespace endivestage::gateway
+namespace endivestage::serving
 {
 
 namespace
@@ -109,4 +109,4 @@
     resumed_ = true;
 }
 
-} // namespace endivestage::gateway
+} // namespace endivestage::serving
--- a/endivestage/gateway/event_framer.hpp
+++ b/endivestage/serving/event_framer.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace endivestage::gateway
+namespace endivestage::serving
 {
 
 /// \brief Cuts a text/event-stream at event boundaries, so that a caller never gets part of an
@@ -48,4 +48,4 @@
     bool broken_ = false;
 };
 
-} // namespace endivestage::gateway
+} // namespace endivestage::serving
--- a/endivestage/gateway/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -1,11 +1,11 @@
-#include <endivestage/gateway/exchange.hpp>
+#include <endivestage/serving/exchange.hpp>
 
 #include <endivestage/daemon/logging.hpp>
 
 #include <algorithm>
 #include <utility>
 
-namespace endivestage::gateway
+namespace endivestage::serving
 {
 
 using daemon::awaitable;
@@ -67,6 +67,8 @@
 void exchange::log_end(std::string_view result, int status) const
 {
     const millis took = state_.time.now() - request_.received;
+    const bool streaming = route_ != nullptr && route_->streaming;
+    state_.metrics.request_ended(result, streaming, took);
     log_event(log_level::info, "request_answered",
               {{"request", decoded_.id},
                {"route", route_ != nullptr ? std::string_view(route_->name) : std::string_view("-")},
@@ -148,7 +150,6 @@
     input.endpoints = available;
     input.tried = tried_;
     input.now = now;
-    input.routers = state_.routers.size();
     input.chat = decoded_.chat;
     input.prefixes = &state_.prefixes;
     input.random = state_.random.next();
@@ -225,6 +226,7 @@
             co_return;
         }
         state_.endpoints.finished(to.id, outcome, state_.time.now(), cold_period);
+        state_.metrics.attempt_ended(outcome);
         if (outcome == endpoint_outcome::served)
         {
             co_return;
@@ -302,6 +304,7 @@
     const millis timeout = std::min(connect_timeout, time_left());
     const std::error_code ec =
         co_await connection_->connect(std::move(address), timeout, silence_timeout);
+    state_.metrics.connection_opened(!ec);
     co_return !ec;
 }
 
@@ -327,6 +330,7 @@
     what.time_left = time.left;
     what.last_event = framer_.last_event() ? framer_.last_event() : decoded_.last_event;
     what.copy_from = find_copy_source(to.id);
+    log_placed(what);
     const millis wait = first_answer_wait(*route_, history_, time);
     ++history_.sends;
     connection_->send(state_.wire.encode_request(request_, what));
@@ -347,6 +351,25 @@
     co_return outcome;
 }
 
+void exchange::log_placed(const dispatch& what) const
+{
+    const endpoint_state* endpoint = state_.endpoints.find(what.endpoint);
+    const time_point now = state_.time.now();
+    log_event(log_level::info, "request_placed",
+              {{"request", decoded_.id},
+               {"route", route_->name},
+               {"endpoint", what.endpoint},
+               {"load", endpoint != nullptr ? state_.endpoints.estimated_load(*endpoint, now) : 0.0},
+               {"cold", endpoint != nullptr && endpoint->cold(now)},
+               {"history", decoded_.chat && state_.prefixes.holds(*decoded_.chat,
+                                                                  hash64(what.endpoint.view()), now)},
+               {"copy_from", what.copy_from ? to_string(*what.copy_from) : std::string()},
+               {"send", history_.sends + 1},
+               {"config", routes_->version()},
+               {"copy_age_ms", state_.lease.age(now).value_or(millis{-1})},
+               {"left_ms", what.time_left}});
+}
+
 void exchange::keep_connection(const endpoint_id& endpoint)
 {
     if (connection_->reusable())
@@ -397,6 +420,8 @@
     if (meaning.load)
     {
         state_.endpoints.report_load(endpoint, *meaning.load, now);
+        state_.loads.push_back(
+            {hash64(endpoint.view()), static_cast<std::uint32_t>(*meaning.load)});
     }
     if (meaning.cold_left && *meaning.cold_left > millis{0})
     {
@@ -508,6 +533,7 @@
         {
             if (first)
             {
+                state_.metrics.first_event(state_.time.now() - request_.received);
                 // The first event shows that the prompt was read.
                 note_history(last_endpoint_);
             }
@@ -533,4 +559,4 @@
     }
 }
 
-} // namespace endivestage::gateway
+} // namespace endivestage::serving
--- a/endivestage/gateway/exchange.hpp
+++ b/endivestage/serving/exchange.hpp
@@ -4,8 +4,8 @@
 
 #include <endivestage/daemon/http_connection.hpp>
 #include <endivestage/daemon/http_server.hpp>
-#include <endivestage/gateway/event_framer.hpp>
-#include <endivestage/gateway/router_state.hpp>
+#include <endivestage/serving/event_framer.hpp>
+#include <endivestage/serving/router_state.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <memory>
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-namespace endivestage::gateway
+namespace endivestage::serving
 {
 
 /// \brief A request that passed the checks and is on its way.
@@ -50,6 +50,7 @@
                                  std::optional<millis> retry_after);
     daemon::awaitable<void> finish_undelivered(next_step step, endpoint_outcome outcome);
     void note_head(const endpoint_id& endpoint, const answer_head& meaning);
+    void log_placed(const dispatch& what) const;
     void keep_connection(const endpoint_id& endpoint);
     void log_end(std::string_view result, int status) const;
     millis time_left() const;
@@ -81,4 +82,4 @@
     event_framer framer_;
 };
 
-} // namespace endivestage::gateway
+} // namespace endivestage::serving
--- a/endivestage/gateway/peer_service.cpp
+++ b/endivestage/serving/peer_service.cpp
@@ -1,4 +1,4 @@
-#include <endivestage/gateway/peer_service.hpp>
+#include <endivestage/serving/peer_service.hpp>
 
 #include <endivestage/daemon/json_access.hpp>
 #include <endivestage/daemon/logging.hpp>
@@ -9,7 +9,7 @@
 #include <cmath>
 #include <utility>
 
-namespace endivestage::gateway
+namespace endivestage::serving
 {
 
 namespace asio = boost::asio;
@@ -324,4 +324,4 @@
     return json::serialize(row);
 }
 
-} // namespace endivestage::gateway
+} // namespace endivestage::serving
--- a/endivestage/gateway/peer_service.hpp
+++ b/endivestage/serving/peer_service.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include <endivestage/core.hpp>
-#include <endivestage/gateway/replication_service.hpp>
+#include <endivestage/serving/replication_service.hpp>
 #include <endivestage/membership.hpp>
 
 #include <array>
@@ -15,7 +15,7 @@
 #include <string>
 #include <vector>
 
-namespace endivestage::gateway
+namespace endivestage::serving
 {
 
 /// \brief Runs the failure detector over UDP.
@@ -89,4 +89,4 @@
     std::uint64_t bytes_sent_ = 0;
 };
 
-} // namespace endivestage::gateway
+} // namespace endivestage::serving
--- a/endivestage/gateway/replication_service.cpp
+++ b/endivestage/serving/replication_service.cpp
@@ -1,4 +1,4 @@
-#include <endivestage/gateway/replication_service.hpp>
+#include <endivestage/serving/replication_service.hpp>
 
 #include <endivestage/daemon/json_access.hpp>
 #include <endivestage/daemon/logging.hpp>
@@ -13,7 +13,7 @@
 #include <utility>
 #include <zlib.h>
 
-namespace endivestage::gateway
+namespace endivestage::serving
 {
 
 namespace asio = boost::asio;
@@ -146,6 +146,40 @@
     return unpacked;
 }
 
+json::array encode_loads(std::span<const load_sighting> loads)
+{
+    json::array encoded;
+    for (const load_sighting& seen : loads)
+    {
+        encoded.emplace_back(json::array{seen.engine, seen.requests});
+    }
+    return encoded;
+}
+
+std::vector<load_sighting> decode_loads(const json::array& encoded)
+{
+    std::vector<load_sighting> loads;
+    for (const json::value& pair : encoded)
+    {
+        if (!pair.is_array() || pair.get_array().size() != 2)
+        {
+            continue;
+        }
+        boost::system::error_code ec;
+        load_sighting seen;
+        seen.engine = pair.get_array()[0].to_number<std::uint64_t>(ec);
+        if (!ec)
+        {
+            seen.requests = pair.get_array()[1].to_number<std::uint32_t>(ec);
+        }
+        if (!ec)
+        {
+            loads.push_back(seen);
+        }
+    }
+    return loads;
+}
+
 change_batch decode_batch(const json::object& encoded)
 {
     change_batch batch;
@@ -430,6 +464,9 @@
         request.target += "&" + std::string(to_string(table)) + "=" +
                           std::to_string(replicas_.at(table).revision().value_or(0));
     }
+    request.target += "&loads=" + std::to_string(loads_seen_);
+    request.method = "POST";
+    request.body = json::serialize(encode_loads(callbacks_.take_loads()));
     request.fields.emplace_back("Host", daemon::to_string(relay.address));
     const time_point asked = time_.now();
     relay_->send(std::move(request));
@@ -481,6 +518,8 @@
             }
         }
     }
+    callbacks_.loads(decode_loads(daemon::get_array(*answer, "loads")));
+    loads_seen_ = daemon::get_unsigned(*answer, "loads_up_to");
     const std::int64_t age_ms = daemon::get_number(*answer, "age_ms", -1);
     if (age_ms < 0 || choice_.stale_relay(millis{age_ms}))
     {
@@ -492,6 +531,21 @@
     return {};
 }
 
+void replication_service::take_loads(const json::array& encoded)
+{
+    const std::vector<load_sighting> loads = decode_loads(encoded);
+    callbacks_.loads(loads);
+    for (const load_sighting& seen : loads)
+    {
+        board_.post(seen);
+    }
+    // A relay asks nobody, so what it heard itself goes to its board here.
+    for (const load_sighting& seen : callbacks_.take_loads())
+    {
+        board_.post(seen);
+    }
+}
+
 awaitable<http_response> replication_service::answer_peer(http_request request)
 {
     http_response answer;
@@ -501,6 +555,12 @@
         answer.status = 503;
         co_return answer;
     }
+    boost::system::error_code unreadable;
+    const json::value posted = json::parse(request.body, unreadable);
+    if (!unreadable && posted.is_array())
+    {
+        take_loads(posted.get_array());
+    }
     const millis wait{static_cast<std::int64_t>(
         std::min<std::uint64_t>(parse_revision(target.parameter("wait_ms")), 1000))};
     const time_point until = time_.now() + wait;
@@ -525,6 +585,8 @@
             json::object body;
             body["age_ms"] = age().value_or(millis{-1}).count;
             body["tables"] = std::move(tables);
+            body["loads"] = encode_loads(board_.since(parse_revision(target.parameter("loads"))));
+            body["loads_up_to"] = board_.sequence();
             answer.body = json::serialize(body);
             compress(answer);
             co_return answer;
@@ -533,4 +595,4 @@
     }
 }
 
-} // namespace endivestage::gateway
+} // namespace endivestage::serving
--- a/endivestage/gateway/replication_service.hpp
+++ b/endivestage/serving/replication_service.hpp
@@ -4,11 +4,12 @@
 
 #include <endivestage/daemon/http_connection.hpp>
 #include <endivestage/daemon/http_server.hpp>
-#include <endivestage/gateway/table_source.hpp>
+#include <endivestage/serving/table_source.hpp>
 #include <endivestage/routing.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -16,7 +17,7 @@
 #include <span>
 #include <vector>
 
-namespace endivestage::gateway
+namespace endivestage::serving
 {
 
 /// \brief A peer that may relay, with its address.
@@ -35,6 +36,10 @@
     std::function<void(time_point)> current_at;
     /// A copy was brought up to date, with or without changes.
     std::function<void()> updated;
+    /// Loads that this router heard from engines since the last call.
+    std::function<std::vector<load_sighting>()> take_loads;
+    /// Loads that other routers heard.
+    std::function<void(std::span<const load_sighting>)> loads;
     /// The routers that are believed alive.
     std::function<std::vector<relay_address>()> live;
 };
@@ -72,6 +77,7 @@
     void note_source(const change_source& source);
     daemon::awaitable<void> follow_relays();
     daemon::awaitable<void> ask_relay(relay_address relay);
+    void take_loads(const boost::json::array& encoded);
     std::error_code take_peer_answer(std::string_view body, time_point asked);
     void apply(shared_table table, const change_batch& batch, bool settling);
     void note_service(shared_table table, std::error_code ec);
@@ -104,6 +110,8 @@
     bool relaying_ = false;
     router_id source_; ///< Relay asked last; empty for the table service.
     std::uint64_t store_calls_ = 0;
+    load_board board_;
+    std::uint64_t loads_seen_ = 0; ///< Number of the relay's board up to which loads are known.
 };
 
-} // namespace endivestage::gateway
+} // namespace endivestage::serving
--- a/endivestage/gateway/request_proxy.cpp
+++ b/endivestage/serving/request_service.cpp
@@ -1,14 +1,14 @@
-#include <endivestage/gateway/request_proxy.hpp>
+#include <endivestage/serving/request_service.hpp>
 
 #include <endivestage/daemon/logging.hpp>
-#include <endivestage/gateway/exchange.hpp>
+#include <endivestage/serving/exchange.hpp>
 
 #include <utility>
 
-namespace endivestage::gateway
+namespace endivestage::serving
 {
 
-daemon::awaitable<void> request_proxy::serve(http_request request, daemon::response_writer& caller)
+daemon::awaitable<void> request_service::serve(http_request request, daemon::response_writer& caller)
 {
     result<caller_request> decoded = state_.wire.decode_request(request);
     if (!decoded)
@@ -27,4 +27,4 @@
     --state_.open_requests;
 }
 
-} // namespace endivestage::gateway
+} // namespace endivestage::serving
--- a/endivestage/gateway/request_proxy.hpp
+++ b/endivestage/serving/request_service.hpp
@@ -3,19 +3,19 @@
 #pragma once
 
 #include <endivestage/daemon/http_server.hpp>
-#include <endivestage/gateway/router_state.hpp>
+#include <endivestage/serving/router_state.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 
-namespace endivestage::gateway
+namespace endivestage::serving
 {
 
 /// \brief Serves requests of callers. All state is in \ref router_state.
-class request_proxy
+class request_service
 {
 public:
     /// \param state Must outlive the proxy.
-    request_proxy(boost::asio::any_io_executor executor, router_state& state)
+    request_service(boost::asio::any_io_executor executor, router_state& state)
         : executor_(std::move(executor)),
           state_(state)
     {
@@ -29,4 +29,4 @@
     router_state& state_;
 };
 
-} // namespace endivestage::gateway
+} // namespace endivestage::serving
--- /dev/null
+++ b/endivestage/serving/router_metrics.cpp
@@ -0,0 +1,76 @@
+#include <endivestage/serving/router_metrics.hpp>
+
+namespace endivestage::serving
+{
+
+namespace
+{
+
+double to_seconds(millis time)
+{
+    return static_cast<double>(time.count) / 1000.0;
+}
+
+} // namespace
+
+void router_metrics::request_ended(std::string_view result, bool streaming, millis took)
+{
+    registry_
+        .get_counter("endivestage_requests_total", "Requests of callers by how they ended.",
+                     {{"result", std::string(result)}})
+        .add();
+    registry_
+        .get_distribution("endivestage_request_seconds",
+                          "Time from a request's first byte to the end of its answer.",
+                          {{"kind", streaming ? "stream" : "plain"}})
+        .observe(to_seconds(took));
+}
+
+void router_metrics::attempt_ended(endpoint_outcome outcome)
+{
+    registry_
+        .get_counter("endivestage_attempts_total", "Attempts at endpoints by how they ended.",
+                     {{"outcome", std::string(to_string(outcome))}})
+        .add();
+}
+
+void router_metrics::first_event(millis after)
+{
+    registry_
+        .get_distribution("endivestage_first_event_seconds",
+                          "Time from a request's first byte to the first event of its stream.")
+        .observe(to_seconds(after));
+}
+
+void router_metrics::connection_opened(bool success)
+{
+    registry_
+        .get_counter("endivestage_connections_total", "Connections opened to endpoints.",
+                     {{"result", success ? "opened" : "failed"}})
+        .add();
+}
+
+void router_metrics::set(const router_gauges& values)
+{
+    const auto put = [this](std::string_view name, std::string_view help, double value)
+    { registry_.get_gauge(name, help).set(value); };
+    put("endivestage_open_requests", "Requests being served.",
+        static_cast<double>(values.open_requests));
+    put("endivestage_idle_connections", "Kept connections to endpoints without a request.",
+        static_cast<double>(values.idle_connections));
+    put("endivestage_endpoints", "Endpoints that are known.", static_cast<double>(values.endpoints));
+    put("endivestage_routers", "Routers that may be running, this one included.",
+        static_cast<double>(values.routers));
+    put("endivestage_config_version", "Version of the configuration in force.",
+        static_cast<double>(values.config_version));
+    put("endivestage_copy_age_seconds",
+        "Age of the copy of the operator's table; negative before the first one.",
+        to_seconds(values.copy_age));
+    put("endivestage_relaying", "1 while this router follows the table service for others.",
+        values.relaying ? 1.0 : 0.0);
+    put("endivestage_ready", "1 while this router takes requests.", values.ready ? 1.0 : 0.0);
+    registry_.get_counter("endivestage_store_calls_total", "Calls made to the table service.")
+        .raise_to(values.store_calls);
+}
+
+} // namespace endivestage::serving
--- a/endivestage/gateway/router_state.hpp
+++ b/endivestage/serving/router_state.hpp
@@ -1,10 +1,11 @@
 /// \file
-/// \brief What the parts of a gateway router share.
+/// \brief What the parts of a router share.
 #pragma once
 
 #include <endivestage/core.hpp>
-#include <endivestage/gateway/dialect.hpp>
-#include <endivestage/gateway/endpoint_pool.hpp>
+#include <endivestage/serving/dialect.hpp>
+#include <endivestage/serving/endpoint_pool.hpp>
+#include <endivestage/serving/router_metrics.hpp>
 #include <endivestage/routing.hpp>
 
 #include <cstdint>
@@ -14,11 +15,11 @@
 #include <string>
 #include <vector>
 
-namespace endivestage::gateway
+namespace endivestage::serving
 {
 
 /// \brief Bounds that the operator's platform sets; the product keeps within them.
-struct gateway_bounds
+struct server_bounds
 {
     millis revocation{5000};      ///< A withdrawn key must not be served later than this.
     repeat_limit repeats;         ///< Over all routers, per service.
@@ -40,7 +41,7 @@
 /// part of one core, and a lock would guard nothing.
 struct router_state
 {
-    router_state(const clock& t, const dialect& d, gateway_bounds b, router_id name)
+    router_state(const clock& t, const dialect& d, server_bounds b, router_id name)
         : time(t),
           wire(d),
           bounds(b),
@@ -57,7 +58,7 @@
 
     const clock& time;
     const dialect& wire;
-    gateway_bounds bounds;
+    server_bounds bounds;
     router_id self;
     time_point started;
     seeded_random random{0};
@@ -67,8 +68,10 @@
     cold_share cold;
     knowledge_lease lease; ///< Of the operator's table.
     std::vector<router_id> routers; ///< That may be running, this one included.
+    router_metrics metrics;
     endpoint_pool pool;
     prefix_directory prefixes;
+    std::vector<load_sighting> loads; ///< Heard from engines; not yet told to a relay.
     std::vector<sighting> news; ///< Of prefixes; not yet told to other routers.
     choice_config choice;
     serving_state serving = serving_state::starting;
@@ -91,4 +94,4 @@
     }
 };
 
-} // namespace endivestage::gateway
+} // namespace endivestage::serving
--- a/endivestage/gateway/run_gateway.cpp
+++ b/endivestage/serving/run_server.cpp
@@ -1,4 +1,4 @@
-#include <endivestage/gateway/server.hpp>
+#include <endivestage/serving/server.hpp>
 
 #include <endivestage/daemon/commands.hpp>
 #include <endivestage/daemon/logging.hpp>
@@ -12,7 +12,7 @@
 #include <iterator>
 #include <optional>
 
-namespace endivestage::gateway
+namespace endivestage::serving
 {
 
 namespace asio = boost::asio;
@@ -78,7 +78,7 @@
             return;
         }
         content_ = *content;
-        const settings_outcome outcome = parse_gateway_settings(content_);
+        const settings_outcome outcome = parse_server_settings(content_);
         if (!outcome.faults.empty())
         {
             log_faults(outcome.faults);
@@ -110,9 +110,9 @@
 
 } // namespace
 
-int run_gateway(
+int run_server(
     const std::string& settings_file,
-    const std::function<platform_ports(asio::io_context&, const gateway_settings&)>& make_ports)
+    const std::function<platform_ports(asio::io_context&, const server_settings&)>& make_ports)
 {
     daemon::log_options options;
     const std::optional<std::string> content = read_file(settings_file);
@@ -122,7 +122,8 @@
         log_event(log_level::error, "settings_missing", {{"file", settings_file}});
         return daemon::exit_settings;
     }
-    const settings_outcome outcome = parse_gateway_settings(*content);
+    const settings_outcome outcome = parse_server_settings(*content);
+    options.bounded = true;
     options.host = outcome.settings.name.str();
     options.zone = outcome.settings.zone.str();
     daemon::start_logging(options);
@@ -162,4 +163,4 @@
     std::_Exit(daemon::exit_success);
 }
 
-} // namespace endivestage::gateway
+} // namespace endivestage::serving
--- a/endivestage/gateway/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -1,4 +1,4 @@
-#include <endivestage/gateway/server.hpp>
+#include <endivestage/serving/server.hpp>
 
 #include <endivestage/daemon/logging.hpp>
 
@@ -11,7 +11,7 @@
 #include <chrono>
 #include <utility>
 
-namespace endivestage::gateway
+namespace endivestage::serving
 {
 
 namespace asio = boost::asio;
@@ -29,6 +29,7 @@
 constexpr millis house_period{250};
 /// News of prefixes are gathered for this long, so that several share a datagram.
 constexpr millis spread_period{100};
+constexpr std::size_t most_untold_loads = 1000;
 constexpr millis stop_tick{50};
 constexpr millis join_retry{300};
 /// Address answers of other routers leave a stopping router out after this.
@@ -49,7 +50,7 @@
     return converted;
 }
 
-stop_settings stop_times(const gateway_bounds& bounds)
+stop_settings stop_times(const server_bounds& bounds)
 {
     stop_settings times;
     times.answer_lifetime = bounds.address_lifetime;
@@ -67,14 +68,14 @@
 
 } // namespace
 
-server::server(asio::io_context& context, gateway_settings settings, platform_ports ports)
+server::server(asio::io_context& context, server_settings settings, platform_ports ports)
     : context_(context),
       settings_(std::move(settings)),
       ports_(std::move(ports)),
       state_(time_, *ports_.wire, settings_.bounds, settings_.name),
-      proxy_(context.get_executor(), state_),
+      service_(context.get_executor(), state_),
       callers_(context, to_http_limits({}), [this](http_request request, response_writer& writer)
-               { return proxy_.serve(std::move(request), writer); }),
+               { return service_.serve(std::move(request), writer); }),
       readiness_(context, {},
                  [this](http_request request, response_writer& writer) -> awaitable<void>
                  {
@@ -101,6 +102,15 @@
                         }
                         co_await writer.send(std::move(answer));
                     }),
+      metrics_server_(context, {},
+                      [this](http_request, response_writer& writer) -> awaitable<void>
+                      {
+                          refresh_metrics();
+                          http_response answer;
+                          answer.fields.emplace_back("Content-Type", "text/plain; version=0.0.4");
+                          answer.body = state_.metrics.render();
+                          co_await writer.send(std::move(answer));
+                      }),
       stop_(stop_times(settings_.bounds))
 {
     state_.routers = {settings_.name};
@@ -124,6 +134,10 @@
         ec = peers_server_.listen({settings_.host, settings_.peer_port});
     }
     if (!ec)
+    {
+        ec = metrics_server_.listen(settings_.metrics);
+    }
+    if (!ec)
     {
         asio::co_spawn(context_, join_fleet(), asio::detached);
         asio::co_spawn(context_, keep_house(), asio::detached);
@@ -177,6 +191,18 @@
     { take_changes(table, rows, settling); };
     callbacks.current_at = [this](time_point instant) { state_.lease.renew(instant); };
     callbacks.updated = [this] { check_serving(); };
+    callbacks.take_loads = [this] { return std::exchange(state_.loads, {}); };
+    callbacks.loads = [this](std::span<const load_sighting> loads)
+    {
+        for (const load_sighting& seen : loads)
+        {
+            const endpoint_state* engine = state_.endpoints.find_by_hash(seen.engine);
+            if (engine != nullptr)
+            {
+                state_.endpoints.report_load(engine->record.id, seen.requests, time_.now());
+            }
+        }
+    };
     callbacks.live = [this]
     {
         std::vector<relay_address> live = peers_->live();
@@ -345,6 +371,24 @@
     state_.routers = peers_->possible();
 }
 
+void server::refresh_metrics()
+{
+    router_gauges now;
+    now.open_requests = state_.open_requests;
+    now.idle_connections = state_.pool.size();
+    now.endpoints = state_.endpoints.size();
+    now.routers = state_.routers.size();
+    now.config_version = state_.routes ? state_.routes->version() : 0;
+    now.ready = state_.ready();
+    if (replication_)
+    {
+        now.copy_age = replication_->age().value_or(millis{-1});
+        now.relaying = replication_->relaying();
+        now.store_calls = replication_->store_calls();
+    }
+    state_.metrics.set(now);
+}
+
 address_answer server::addresses(zone_id zone, region_id region)
 {
     std::vector<router_status> routers;
@@ -387,6 +431,12 @@
     {
         co_await sleep(house_period);
         state_.pool.expire();
+        daemon::flush_log();
+        if (state_.loads.size() > most_untold_loads)
+        {
+            // No relay asked for them, so nobody needs them.
+            state_.loads.clear();
+        }
         for (const endpoint_id& gone : state_.endpoints.expire(time_.now()))
         {
             log_event(log_level::info, "endpoint_forgotten", {{"endpoint", gone}});
@@ -443,11 +493,11 @@
     context_.stop();
 }
 
-void server::reload(const gateway_settings& settings)
+void server::reload(const server_settings& settings)
 {
     settings_.bounds = settings.bounds;
     state_.bounds = settings.bounds;
     log_event(log_level::info, "settings_reloaded");
 }
 
-} // namespace endivestage::gateway
+} // namespace endivestage::serving
--- a/endivestage/gateway/server.hpp
+++ b/endivestage/serving/server.hpp
@@ -5,10 +5,10 @@
 #include <endivestage/address.hpp>
 #include <endivestage/daemon/http_server.hpp>
 #include <endivestage/daemon/process_clock.hpp>
-#include <endivestage/gateway/peer_service.hpp>
-#include <endivestage/gateway/replication_service.hpp>
-#include <endivestage/gateway/request_proxy.hpp>
-#include <endivestage/gateway/settings.hpp>
+#include <endivestage/serving/peer_service.hpp>
+#include <endivestage/serving/replication_service.hpp>
+#include <endivestage/serving/request_service.hpp>
+#include <endivestage/serving/settings.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -18,7 +18,7 @@
 #include <set>
 #include <string>
 
-namespace endivestage::gateway
+namespace endivestage::serving
 {
 
 /// \brief Meaning of the rows of the operator's and the endpoints' tables.
@@ -76,7 +76,7 @@
 class server
 {
 public:
-    server(boost::asio::io_context& context, gateway_settings settings, platform_ports ports);
+    server(boost::asio::io_context& context, server_settings settings, platform_ports ports);
 
     /// \brief Opens the sockets and starts the coroutines.
     /// \returns The first error of a socket.
@@ -86,7 +86,7 @@
     void stop();
 
     /// \brief Takes changed settings: bounds; other members need a restart.
-    void reload(const gateway_settings& settings);
+    void reload(const server_settings& settings);
 
 private:
     daemon::awaitable<void> join_fleet();
@@ -99,19 +99,21 @@
     void take_endpoints(std::span<const replicated_row> rows, bool settling);
     void adopt_routes(route_table routes);
     void refresh_routers();
+    void refresh_metrics();
     void check_serving();
     address_answer addresses(zone_id zone, region_id region);
 
     boost::asio::io_context& context_;
     daemon::process_clock time_;
-    gateway_settings settings_;
+    server_settings settings_;
     platform_ports ports_;
     router_state state_;
-    request_proxy proxy_;
+    request_service service_;
     daemon::http_server callers_;
     daemon::http_server readiness_;
     daemon::http_server directory_;
     daemon::http_server peers_server_;
+    daemon::http_server metrics_server_;
     std::unique_ptr<peer_service> peers_;
     std::unique_ptr<replication_service> replication_;
     std::set<zone_id> out_of_service_;
@@ -123,9 +125,9 @@
 /// \brief Runs a router with the settings in a file until it is asked to stop.
 /// \param make_ports Makes the platform's adapter for the settings.
 /// \returns An exit code.
-int run_gateway(
+int run_server(
     const std::string& settings_file,
-    const std::function<platform_ports(boost::asio::io_context&, const gateway_settings&)>&
+    const std::function<platform_ports(boost::asio::io_context&, const server_settings&)>&
         make_ports);
 
-} // namespace endivestage::gateway
+} // namespace endivestage::serving
--- a/endivestage/gateway/settings.cpp
+++ b/endivestage/serving/settings.cpp
@@ -1,11 +1,11 @@
-#include <endivestage/gateway/settings.hpp>
+#include <endivestage/serving/settings.hpp>
 
 #include <endivestage/daemon/json_access.hpp>
 
 #include <algorithm>
 #include <utility>
 
-namespace endivestage::gateway
+namespace endivestage::serving
 {
 
 namespace json = boost::json;
@@ -108,7 +108,7 @@
 
 } // namespace
 
-settings_outcome parse_gateway_settings(std::string_view text)
+settings_outcome parse_server_settings(std::string_view text)
 {
     settings_outcome outcome;
     const result<json::object> root = daemon::parse_json_object(text);
@@ -118,7 +118,7 @@
         return outcome;
     }
     settings_reader reader(*root, outcome.faults);
-    gateway_settings& s = outcome.settings;
+    server_settings& s = outcome.settings;
     s.name = router_id(reader.text("router", "name"));
     s.zone = zone_id(reader.text("router", "zone"));
     s.region = region_id(reader.text("router", "region"));
@@ -128,6 +128,7 @@
     s.callers = reader.address("listen", "callers");
     s.readiness = reader.address("listen", "readiness");
     s.directory = reader.address("listen", "directory");
+    s.metrics = reader.address("listen", "metrics");
     s.table_service = reader.address("platform", "table_service");
     s.bounds.revocation = reader.time("bounds", "revocation_ms", 2000, 600000);
     s.bounds.repeats.ratio = reader.number("bounds", "repeat_ratio", 0, 10);
@@ -142,4 +143,4 @@
     return outcome;
 }
 
-} // namespace endivestage::gateway
+} // namespace endivestage::serving
--- a/endivestage/gateway/settings.hpp
+++ b/endivestage/serving/settings.hpp
@@ -1,19 +1,19 @@
 /// \file
-/// \brief Settings file of a gateway router.
+/// \brief Settings file of a router.
 #pragma once
 
 #include <endivestage/daemon/network_address.hpp>
-#include <endivestage/gateway/router_state.hpp>
+#include <endivestage/serving/router_state.hpp>
 
 #include <string>
 #include <string_view>
 #include <vector>
 
-namespace endivestage::gateway
+namespace endivestage::serving
 {
 
 /// \brief What a router is told about itself and its platform.
-struct gateway_settings
+struct server_settings
 {
     router_id name;
     zone_id zone;
@@ -23,9 +23,10 @@
     daemon::network_address callers;
     daemon::network_address readiness;
     daemon::network_address directory;
+    daemon::network_address metrics;
     daemon::network_address table_service;
     double cpu_share = 1.0; ///< Part of a core that the host gives.
-    gateway_bounds bounds;
+    server_bounds bounds;
 };
 
 /// \brief Something wrong in a settings file.
@@ -39,11 +40,11 @@
 /// \brief The settings, or everything that is wrong with them.
 struct settings_outcome
 {
-    gateway_settings settings;
+    server_settings settings;
     std::vector<settings_fault> faults; ///< Empty when the settings may be used.
 };
 
 /// \brief Reads settings from JSON. Members that are not known are ignored.
-settings_outcome parse_gateway_settings(std::string_view text);
+settings_outcome parse_server_settings(std::string_view text);
 
-} // namespace endivestage::gateway
+} // namespace endivestage::serving
--- a/endivestage/gateway/table_source.hpp
+++ b/endivestage/serving/table_source.hpp
@@ -11,7 +11,7 @@
 #include <string>
 #include <string_view>
 
-namespace endivestage::gateway
+namespace endivestage::serving
 {
 
 /// \brief Tables that every router has a copy of.
@@ -64,4 +64,4 @@
     table_source& operator=(const table_source&) = default;
 };
 
-} // namespace endivestage::gateway
+} // namespace endivestage::serving
--- /dev/null
+++ b/standin/platform_engine.cpp
@@ -0,0 +1,168 @@
+#include <standin/platform_engine.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <cstdio>
+
+namespace endivestage::standin
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using daemon::awaitable;
+using daemon::http_request;
+using tcp = asio::ip::tcp;
+
+platform_engine::platform_engine(asio::io_context& context, script answer_script)
+    : answer(std::move(answer_script)),
+      context_(context),
+      acceptor_(context)
+{
+}
+
+std::error_code platform_engine::start()
+{
+    boost::system::error_code ec;
+    const tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), 0);
+    acceptor_.open(endpoint.protocol(), ec);
+    if (!ec)
+    {
+        acceptor_.bind(endpoint, ec);
+    }
+    if (!ec)
+    {
+        acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    if (!ec)
+    {
+        accept();
+    }
+    return ec ? std::error_code(ec.value(), std::system_category()) : std::error_code();
+}
+
+void platform_engine::stop()
+{
+    boost::system::error_code ec;
+    acceptor_.close(ec);
+}
+
+std::uint16_t platform_engine::port() const
+{
+    return acceptor_.local_endpoint().port();
+}
+
+void platform_engine::accept()
+{
+    acceptor_.async_accept(
+        [this](const boost::system::error_code& ec, tcp::socket socket)
+        {
+            if (ec)
+            {
+                return;
+            }
+            asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
+            accept();
+        });
+}
+
+awaitable<bool> platform_engine::send(tcp::socket& socket, engine_reply reply)
+{
+    for (const std::string& piece : reply.pieces)
+    {
+        boost::system::error_code ec;
+        if (reply.gap > millis{0})
+        {
+            asio::steady_timer timer(context_, std::chrono::milliseconds(reply.gap.count));
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        }
+        char byte = 0;
+        socket.non_blocking(true, ec);
+        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+        const bool left = ec != asio::error::would_block;
+        co_await asio::async_write(socket, asio::buffer(piece),
+                                   asio::redirect_error(asio::use_awaitable, ec));
+        if (ec || left)
+        {
+            ++abandoned_;
+            co_return false;
+        }
+    }
+    boost::system::error_code ec;
+    if (reply.after == engine_reply::ending::hang)
+    {
+        char byte = 0;
+        co_await socket.async_read_some(asio::buffer(&byte, 1),
+                                        asio::redirect_error(asio::use_awaitable, ec));
+        ++abandoned_;
+        co_return false;
+    }
+    if (reply.after == engine_reply::ending::reset)
+    {
+        socket.set_option(asio::socket_base::linger(true, 0), ec);
+    }
+    co_return reply.after == engine_reply::ending::keep;
+}
+
+awaitable<void> platform_engine::serve(tcp::socket socket)
+{
+    beast::flat_buffer buf;
+    for (bool open = true; open;)
+    {
+        http::request<http::string_body> message;
+        boost::system::error_code ec;
+        co_await http::async_read(socket, buf, message,
+                                  asio::redirect_error(asio::use_awaitable, ec));
+        if (ec)
+        {
+            co_return;
+        }
+        http_request request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        request.body = message.body();
+        for (const auto& field : message)
+        {
+            request.fields.emplace_back(field.name_string(), field.value());
+        }
+        received_.push_back(request);
+        engine_reply reply = answer(request);
+        open = co_await send(socket, std::move(reply));
+    }
+    boost::system::error_code ec;
+    socket.close(ec);
+}
+
+std::string make_answer(const http_request& request, int status, const std::string& body,
+                        const std::string& more_fields)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " Scripted\r\nX-Attempt-Id: " +
+           std::string(daemon::find_field(request.fields, "X-Attempt-Id")) +
+           "\r\nX-Origin-Seal: seal\r\n" + more_fields +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string make_stream_head(const http_request& request)
+{
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " +
+           std::string(daemon::find_field(request.fields, "X-Attempt-Id")) +
+           "\r\nX-Origin-Seal: seal\r\nContent-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string make_event_chunk(int id)
+{
+    const std::string event = "id: " + std::to_string(id) + "\ndata: token\n\n";
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", event.size());
+    return size + event + "\r\n";
+}
+
+} // namespace endivestage::standin
--- /dev/null
+++ b/standin/platform_store.cpp
@@ -0,0 +1,205 @@
+#include <standin/platform_store.hpp>
+
+#include <endivestage/daemon/json_access.hpp>
+#include <endivestage/daemon/process_clock.hpp>
+#include <platform/store_client.hpp>
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <cstdlib>
+
+namespace endivestage::standin
+{
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using daemon::awaitable;
+using daemon::http_request;
+using daemon::http_response;
+using daemon::http_target;
+using daemon::response_writer;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds feed_poll{5};
+
+std::uint64_t parse(std::string_view text)
+{
+    return std::strtoull(std::string(text).c_str(), nullptr, 10);
+}
+
+awaitable<void> pause(std::chrono::milliseconds time)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+} // namespace
+
+platform_store::platform_store(asio::io_context& context)
+    : context_(context),
+      server_(context, {}, [this](http_request request, response_writer& writer)
+              { return answer(std::move(request), writer); })
+{
+}
+
+std::error_code platform_store::start()
+{
+    return server_.listen({"127.0.0.1", 0});
+}
+
+void platform_store::put(const std::string& table, const std::string& key, const std::string& data)
+{
+    rows_[{table, key}] = {platform::encode_base64(data), ++revision_, false};
+}
+
+void platform_store::erase(const std::string& table, const std::string& key)
+{
+    rows_[{table, key}] = {{}, ++revision_, true};
+}
+
+std::string platform_store::get(const std::string& table, const std::string& key) const
+{
+    const auto it = rows_.find({table, key});
+    if (it == rows_.end() || it->second.deleted)
+    {
+        return {};
+    }
+    const result<std::string> data = platform::decode_base64(it->second.data);
+    return data ? *data : std::string();
+}
+
+bool platform_store::changed(const std::string& table, std::uint64_t since) const
+{
+    return std::any_of(rows_.begin(), rows_.end(),
+                       [&](const std::pair<const row_key, row>& entry)
+                       { return entry.first.first == table && entry.second.revision > since; });
+}
+
+std::string platform_store::list(const std::string& table, std::uint64_t since,
+                                 bool with_deleted) const
+{
+    json::array rows;
+    for (const std::pair<const row_key, row>& entry : rows_)
+    {
+        const row& stored = entry.second;
+        if (entry.first.first != table || stored.revision <= since ||
+            (stored.deleted && !with_deleted))
+        {
+            continue;
+        }
+        json::object fields{{"table", table},
+                            {"part", ""},
+                            {"key", entry.first.second},
+                            {"row_version", stored.revision}};
+        if (stored.deleted)
+        {
+            fields["deleted"] = true;
+        }
+        else
+        {
+            fields["data"] = stored.data;
+        }
+        rows.push_back(std::move(fields));
+    }
+    const daemon::process_clock time;
+    return json::serialize(json::object{{"rows", std::move(rows)},
+                                        {"has_more", false},
+                                        {"row_version", revision_},
+                                        {"now_ms", time.now().since_epoch}});
+}
+
+awaitable<void> platform_store::answer_feed(const http_target& target, response_writer& writer)
+{
+    http_response answer;
+    if (faults.forget_history)
+    {
+        faults.forget_history = false;
+        answer.status = 410;
+        co_await writer.send(std::move(answer));
+        co_return;
+    }
+    const std::string table(target.parameter("table"));
+    const std::uint64_t since = parse(target.parameter("since_rev"));
+    const daemon::process_clock time;
+    const time_point until =
+        time.now() + millis{static_cast<std::int64_t>(parse(target.parameter("wait_ms")))};
+    while (!changed(table, since) && time.now() < until)
+    {
+        co_await pause(feed_poll);
+    }
+    answer.body = list(table, since, true);
+    co_await writer.send(std::move(answer));
+}
+
+awaitable<void> platform_store::answer_transaction(std::string body, response_writer& writer)
+{
+    const result<json::object> parsed = daemon::parse_json_object(body);
+    http_response answer;
+    if (!parsed)
+    {
+        answer.status = 400;
+        co_await writer.send(std::move(answer));
+        co_return;
+    }
+    for (const json::value& entry : daemon::get_array(*parsed, "write"))
+    {
+        const json::object& fields = entry.as_object();
+        rows_[{daemon::get_text(fields, "table"), daemon::get_text(fields, "key")}] = {
+            daemon::get_text(fields, "data"), ++revision_, false};
+    }
+    for (const json::value& entry : daemon::get_array(*parsed, "delete"))
+    {
+        const json::object& fields = entry.as_object();
+        erase(daemon::get_text(fields, "table"), daemon::get_text(fields, "key"));
+    }
+    if (faults.lose_writes)
+    {
+        writer.abort();
+        co_return;
+    }
+    answer.body = json::serialize(json::object{{"row_version", revision_}, {"now_ms", 0}});
+    co_await writer.send(std::move(answer));
+}
+
+awaitable<void> platform_store::answer(http_request request, response_writer& writer)
+{
+    ++calls_;
+    while (faults.silent)
+    {
+        co_await pause(feed_poll);
+    }
+    if (faults.reset)
+    {
+        writer.abort();
+        co_return;
+    }
+    http_response answer;
+    http_target target;
+    if (faults.status != 0 || !daemon::parse_target(request.target, target) ||
+        target.segments.size() != 2)
+    {
+        answer.status = faults.status != 0 ? faults.status : 404;
+        co_await writer.send(std::move(answer));
+        co_return;
+    }
+    if (target.segments[1] == "rows-feed")
+    {
+        co_await answer_feed(target, writer);
+        co_return;
+    }
+    if (target.segments[1] == "rows-tx")
+    {
+        co_await answer_transaction(std::move(request.body), writer);
+        co_return;
+    }
+    answer.body = list(std::string(target.parameter("table")), 0, false);
+    co_await writer.send(std::move(answer));
+}
+
+} // namespace endivestage::standin
--- /dev/null
+++ b/tests/daemon_platform_path_test.cpp
@@ -0,0 +1,638 @@
+// The whole path on the users' platform in one process: a router, the stand-in of the store and
+// engines with scripted answers.
+
+#include <endivestage/daemon/http_connection.hpp>
+#include <endivestage/daemon/logging.hpp>
+#include <endivestage/serving/server.hpp>
+#include <platform/ports.hpp>
+#include <standin/platform_engine.hpp>
+#include <standin/platform_store.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <optional>
+
+using namespace endivestage;
+using daemon::awaitable;
+using daemon::http_request;
+using daemon::http_response;
+using standin::engine_reply;
+using standin::make_answer;
+using standin::make_event_chunk;
+using standin::make_stream_head;
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::chrono::seconds patience{20};
+
+std::uint16_t free_port(asio::io_context& context)
+{
+    asio::ip::tcp::acceptor acceptor(
+        context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    return acceptor.local_endpoint().port();
+}
+
+const char* const configuration = R"({"version":3,"routes":[
+ {"name":"stream","host":"t.example","path_prefix":"/s/","route_type":"streaming","timeout_ms":6000,"slo_ms":800,
+  "priority":1,"service":"pool","max_attempts":1,"anonymous":false,"sticky":true,"resumable":false},
+ {"name":"resumable","host":"t.example","path_prefix":"/r/","route_type":"streaming","timeout_ms":6000,"slo_ms":800,
+  "priority":0,"service":"pool","max_attempts":2,"anonymous":false,"sticky":true,"resumable":true},
+ {"name":"once","host":"t.example","path_prefix":"/o/","route_type":"non_idempotent","timeout_ms":1500,"slo_ms":150,
+  "priority":2,"service":"pool","max_attempts":1,"anonymous":false},
+ {"name":"idempotent","host":"t.example","path_prefix":"/i/","route_type":"idempotent","timeout_ms":1500,"slo_ms":150,
+  "priority":2,"service":"pool","max_attempts":2,"anonymous":true}],
+ "services":[{"name":"pool","health_path":"/healthz","max_conns":100,"cold_start_s":3.0,"cold_per_s":7.0}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"buyers","api_keys":["key-1"]}]})";
+
+/// A fleet of one router with its platform.
+struct fleet
+{
+    fleet() : store(context)
+    {
+        REQUIRE_FALSE(store.start());
+        store.put("op", "config", configuration);
+    }
+
+    standin::platform_engine& add_engine(const std::string& id, standin::platform_engine::script s)
+    {
+        engines.push_back(std::make_unique<standin::platform_engine>(context, std::move(s)));
+        REQUIRE_FALSE(engines.back()->start());
+        describe(id, engines.back()->port(), "ready");
+        return *engines.back();
+    }
+
+    void describe(const std::string& id, std::uint16_t port, const std::string& state)
+    {
+        store.put("servers", id,
+                  R"({"service":"pool","address":"127.0.0.1:)" + std::to_string(port) +
+                      R"(","zone":"zone-a","version":"v1","slots":64,"state":")" + state +
+                      R"(","cold_left_ms":0,"sequence":1})");
+    }
+
+    void start_router()
+    {
+        settings.name = router_id("r1");
+        settings.zone = zone_id("zone-a");
+        settings.region = region_id("region");
+        settings.host = "127.0.0.1";
+        settings.peer_port = free_port(context);
+        settings.callers = {"127.0.0.1", free_port(context)};
+        settings.readiness = {"127.0.0.1", free_port(context)};
+        settings.directory = {"127.0.0.1", free_port(context)};
+        settings.metrics = {"127.0.0.1", free_port(context)};
+        settings.table_service = {"127.0.0.1", store.port()};
+        settings.bounds.repeats.allowance = 1000;
+        settings.bounds.repeats.ratio = 5.0;
+        router = std::make_unique<serving::server>(context, settings,
+                                                   platform::make_ports(context, settings));
+        REQUIRE_FALSE(router->start());
+    }
+
+    /// Runs a test's steps; fails if they do not end.
+    void run(std::function<awaitable<void>()> steps)
+    {
+        bool done = false;
+        asio::co_spawn(
+            context,
+            [&]() -> awaitable<void>
+            {
+                co_await wait_ready();
+                co_await steps();
+                done = true;
+                context.stop();
+            },
+            [](std::exception_ptr failure)
+            {
+                if (failure)
+                {
+                    std::rethrow_exception(failure);
+                }
+            });
+        context.run_for(patience);
+        REQUIRE(done);
+    }
+
+    awaitable<void> pause(std::int64_t ms)
+    {
+        asio::steady_timer timer(context, std::chrono::milliseconds(ms));
+        boost::system::error_code ec;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+
+    awaitable<http_response> get(daemon::network_address address, std::string target)
+    {
+        http_request request;
+        request.target = std::move(target);
+        request.fields.emplace_back("Host", "t.example");
+        co_return co_await exchange(std::move(address), std::move(request));
+    }
+
+    awaitable<void> wait_ready()
+    {
+        for (;;)
+        {
+            const http_response answer = co_await get(settings.readiness, "/v1/readyz");
+            if (answer.status == 200)
+            {
+                co_return;
+            }
+            co_await pause(10);
+        }
+    }
+
+    /// Status 0: the connection ended before the answer was complete.
+    awaitable<http_response> exchange(daemon::network_address address, http_request request)
+    {
+        http_response failed;
+        failed.status = 0;
+        daemon::http_connection connection(context.get_executor());
+        const std::error_code ec =
+            co_await connection.connect(std::move(address), millis{1000}, millis{1000});
+        if (ec)
+        {
+            co_return failed;
+        }
+        connection.send(std::move(request));
+        result<http_response> head = co_await connection.read_head(millis{8000});
+        if (!head)
+        {
+            co_return failed;
+        }
+        result<std::string> body =
+            co_await daemon::read_body(connection, millis{8000}, 1U << 20U);
+        if (!body)
+        {
+            co_return failed;
+        }
+        head->body = std::move(*body);
+        co_return *head;
+    }
+
+    awaitable<http_response> ask(std::string method, std::string target, std::string key = "key-1",
+                                 std::string body = {})
+    {
+        http_request request;
+        request.method = std::move(method);
+        request.target = std::move(target);
+        request.body = std::move(body);
+        request.fields.emplace_back("Host", "t.example");
+        request.fields.emplace_back("X-Attempt-Id", "attempt-" + std::to_string(++attempts));
+        request.fields.emplace_back("X-Deadline-Ms", "5000");
+        request.fields.emplace_back("Authorization", "Bearer " + key);
+        request.fields.emplace_back("X-Tenant", "forged");
+        request.fields.emplace_back("X-Pin-Ms", "4000");
+        request.fields.emplace_back("X-Prefix-Hash", "aa:800,bb:400,cc:20");
+        co_return co_await exchange(settings.callers, std::move(request));
+    }
+
+    asio::io_context context{1};
+    standin::platform_store store;
+    std::vector<std::unique_ptr<standin::platform_engine>> engines;
+    serving::server_settings settings;
+    std::unique_ptr<serving::server> router;
+    int attempts = 0;
+};
+
+engine_reply keep(std::string bytes)
+{
+    return {{std::move(bytes)}, millis{0}, engine_reply::ending::keep};
+}
+
+standin::platform_engine::script ok(const std::string& body = "done")
+{
+    return [body](const http_request& request) { return keep(make_answer(request, 200, body)); };
+}
+
+} // namespace
+
+TEST_CASE("a request reaches an engine unchanged, with the router's own fields")
+{
+    fleet f;
+    standin::platform_engine& engine = f.add_engine("e1", ok());
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            const http_response answer =
+                co_await f.ask("POST", "/o/x?y=%20z", "key-1", "the body");
+            REQUIRE(answer.status == 200);
+            REQUIRE(answer.body == "done");
+            REQUIRE(daemon::find_field(answer.fields, "X-Origin-Seal") == "seal");
+            REQUIRE(engine.received().size() == 1);
+            const http_request& got = engine.received().front();
+            REQUIRE(got.method == "POST");
+            REQUIRE(got.target == "/o/x?y=%20z");
+            REQUIRE(got.body == "the body");
+            REQUIRE(daemon::find_field(got.fields, "X-Tenant") == "buyers");
+            REQUIRE(daemon::find_field(got.fields, "X-Expect-Instance") == "e1");
+            REQUIRE(daemon::find_field(got.fields, "Authorization").empty());
+            REQUIRE(daemon::find_field(got.fields, "X-Pin-Ms").empty());
+            const int left = std::atoi(
+                std::string(daemon::find_field(got.fields, "X-Deadline-Ms")).c_str());
+            REQUIRE(left > 0);
+            REQUIRE(left <= 1500);
+        });
+}
+
+TEST_CASE("unknown routes and keys are refused, anonymous routes need no key")
+{
+    fleet f;
+    standin::platform_engine& engine = f.add_engine("e1", ok());
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            REQUIRE((co_await f.ask("GET", "/nowhere/")).status == 404);
+            REQUIRE((co_await f.ask("POST", "/o/", "wrong")).status == 401);
+            REQUIRE(engine.received().empty());
+            REQUIRE((co_await f.ask("GET", "/i/", "wrong")).status == 200);
+        });
+}
+
+// Fault: an engine ends an answer before its length (torn).
+TEST_CASE("a torn answer is never passed on as whole")
+{
+    fleet f;
+    const auto torn = [](const http_request& request)
+    {
+        const std::string whole = make_answer(request, 200, "0123456789");
+        return engine_reply{
+            {whole.substr(0, whole.size() - 4)}, millis{0}, engine_reply::ending::close};
+    };
+    standin::platform_engine& engine = f.add_engine("e1", torn);
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            const http_response answer = co_await f.ask("POST", "/o/");
+            REQUIRE(answer.status == 502);
+            REQUIRE(engine.received().size() == 1);
+        });
+}
+
+// Fault: answers of other requests arrive, before and after the right one (crossed, surplus).
+TEST_CASE("answers of other requests are not delivered")
+{
+    fleet f;
+    int calls = 0;
+    const auto crossed = [&](const http_request& request)
+    {
+        ++calls;
+        http_request other = request;
+        other.fields = {{"X-Attempt-Id", "another"}};
+        const std::string own = make_answer(request, 200, "own");
+        const std::string foreign = make_answer(other, 200, "foreign");
+        return keep(calls % 2 == 1 ? foreign + own : own + foreign);
+    };
+    f.add_engine("e1", crossed);
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            for (int n = 0; n < 6; ++n)
+            {
+                const http_response answer = co_await f.ask("POST", "/o/");
+                REQUIRE(answer.status == 200);
+                REQUIRE(answer.body == "own");
+            }
+        });
+}
+
+// Fault: an answer has no length and ends with its connection; one that is reset is not whole.
+TEST_CASE("an answer without a length counts when its connection ends in order")
+{
+    fleet f;
+    bool reset = false;
+    const auto unframed = [&](const http_request& request)
+    {
+        const std::string head =
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: " +
+            std::string(daemon::find_field(request.fields, "X-Attempt-Id")) +
+            "\r\nX-Origin-Seal: seal\r\n\r\n";
+        return engine_reply{{head + "unframed"},
+                            millis{0},
+                            reset ? engine_reply::ending::reset : engine_reply::ending::close};
+    };
+    f.add_engine("e1", unframed);
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            const http_response whole = co_await f.ask("POST", "/o/");
+            REQUIRE(whole.status == 200);
+            REQUIRE(whole.body == "unframed");
+            reset = true;
+            const http_response cut = co_await f.ask("POST", "/o/");
+            REQUIRE(cut.status != 200);
+        });
+}
+
+// Fault: an engine sends bytes that are no answer.
+TEST_CASE("bytes that are no answer give 502 to a request that may run once")
+{
+    fleet f;
+    f.add_engine("e1",
+                 [](const http_request&) {
+                     return engine_reply{
+                         {"SSH-2.0-nonsense\r\n\r\n"}, millis{0}, engine_reply::ending::keep};
+                 });
+    f.start_router();
+    f.run([&]() -> awaitable<void> { REQUIRE((co_await f.ask("POST", "/o/")).status == 502); });
+}
+
+// Fault: an engine runs a request and its answer is lost. The order must not be placed twice.
+TEST_CASE("a request that may run once is sent once when its answer is lost")
+{
+    fleet f;
+    const auto lost = [](const http_request&)
+    { return engine_reply{{}, millis{0}, engine_reply::ending::reset}; };
+    f.add_engine("e1", lost);
+    f.add_engine("e2", lost);
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            REQUIRE((co_await f.ask("POST", "/o/")).status == 502);
+            REQUIRE(f.engines[0]->received().size() + f.engines[1]->received().size() == 1);
+            REQUIRE((co_await f.ask("GET", "/i/")).status == 502);
+            REQUIRE(f.engines[0]->received().size() + f.engines[1]->received().size() == 3);
+        });
+}
+
+// Fault: an engine is full, or another one has its address.
+TEST_CASE("a request goes on to another engine after proof that it did not run")
+{
+    fleet f;
+    f.add_engine("e1",
+                 [](const http_request& request)
+                 { return keep(make_answer(request, 503, "", "X-Not-Executed: 1\r\n")); });
+    f.add_engine("e2", [](const http_request& request)
+                 { return keep(make_answer(request, 421, "")); });
+    f.add_engine("e3", ok("third"));
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            for (int n = 0; n < 4; ++n)
+            {
+                const http_response answer = co_await f.ask("POST", "/o/");
+                REQUIRE(answer.status == 200);
+                REQUIRE(answer.body == "third");
+            }
+        });
+}
+
+TEST_CASE("a request that no engine takes is refused as not run, with a time to come back")
+{
+    fleet f;
+    f.add_engine("e1",
+                 [](const http_request& request)
+                 { return keep(make_answer(request, 503, "", "X-Not-Executed: 1\r\n")); });
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            const http_response answer = co_await f.ask("POST", "/o/");
+            REQUIRE(answer.status == 503);
+            REQUIRE_FALSE(daemon::find_field(answer.fields, "Retry-After").empty());
+            REQUIRE(answer.body.find("not_run") != std::string::npos);
+        });
+}
+
+// Fault: an engine breaks off a stream in the middle of an event.
+TEST_CASE("a resumable stream goes on at another engine, another one is cut")
+{
+    fleet f;
+    const auto half = [](const http_request& request)
+    {
+        const bool resumed = !daemon::find_field(request.fields, "Last-Event-Id").empty();
+        if (resumed)
+        {
+            return keep(make_stream_head(request) + make_event_chunk(3) + make_event_chunk(4) +
+                        standin::last_chunk);
+        }
+        return engine_reply{{make_stream_head(request) + make_event_chunk(1) + make_event_chunk(2),
+                             "9\r\nid: 3\ndat\r\n"},
+                            millis{20},
+                            engine_reply::ending::reset};
+    };
+    f.add_engine("e1", half);
+    f.add_engine("e2", half);
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            const http_response whole = co_await f.ask("POST", "/r/");
+            REQUIRE(whole.status == 200);
+            std::string expected;
+            for (int id = 1; id <= 4; ++id)
+            {
+                expected += "id: " + std::to_string(id) + "\ndata: token\n\n";
+            }
+            REQUIRE(whole.body == expected);
+            const http_response cut = co_await f.ask("POST", "/s/");
+            REQUIRE(cut.status == 0);
+        });
+}
+
+// Guards against work for callers that have left.
+TEST_CASE("a caller that leaves ends the work at the engine")
+{
+    fleet f;
+    standin::platform_engine& engine = f.add_engine(
+        "e1", [](const http_request&)
+        { return engine_reply{{}, millis{0}, engine_reply::ending::hang}; });
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            {
+                daemon::http_connection caller(f.context.get_executor());
+                REQUIRE_FALSE(
+                    co_await caller.connect(f.settings.callers, millis{1000}, millis{1000}));
+                http_request request;
+                request.method = "POST";
+                request.target = "/o/";
+                request.fields = {{"Host", "t.example"},
+                                  {"X-Attempt-Id", "leaver"},
+                                  {"Authorization", "Bearer key-1"}};
+                caller.send(std::move(request));
+                while (engine.received().empty())
+                {
+                    co_await f.pause(5);
+                }
+            }
+            for (int n = 0; n < 100 && engine.abandoned() == 0; ++n)
+            {
+                co_await f.pause(5);
+            }
+            REQUIRE(engine.abandoned() == 1);
+        });
+}
+
+// Fault: an engine is gone but its record is not.
+TEST_CASE("an engine that cannot be reached costs no request")
+{
+    fleet f;
+    standin::platform_engine& gone = f.add_engine("e1", ok("gone"));
+    f.add_engine("e2", ok("there"));
+    gone.stop();
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            for (int n = 0; n < 6; ++n)
+            {
+                REQUIRE((co_await f.ask("POST", "/o/")).body == "there");
+            }
+        });
+}
+
+TEST_CASE("a draining engine gets nothing and an unreadable record names no engine")
+{
+    fleet f;
+    standin::platform_engine& leaving = f.add_engine("e1", ok("leaving"));
+    f.add_engine("e2", ok("stays"));
+    f.store.put("servers", "e3", "\xff not json");
+    f.store.put("servers", "e4", R"({"service":"pool","address":17,"state":"ready"})");
+    f.describe("e1", leaving.port(), "draining");
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            for (int n = 0; n < 6; ++n)
+            {
+                REQUIRE((co_await f.ask("POST", "/o/")).body == "stays");
+            }
+            REQUIRE(leaving.received().empty());
+        });
+}
+
+TEST_CASE("a zone that is taken out gets nothing until it returns")
+{
+    fleet f;
+    f.add_engine("e1", ok());
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            REQUIRE((co_await f.ask("POST", "/o/")).status == 200);
+            f.store.put("op", "evacuate/zone-a", "{}");
+            co_await f.pause(400);
+            REQUIRE((co_await f.ask("POST", "/o/")).status == 503);
+            f.store.erase("op", "evacuate/zone-a");
+            co_await f.pause(400);
+            REQUIRE((co_await f.ask("POST", "/o/")).status == 200);
+        });
+}
+
+// Fault: the store forgets its history, and a newer configuration came meanwhile.
+TEST_CASE("a lost history is read again")
+{
+    fleet f;
+    f.add_engine("e1", ok());
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            std::string without_keys(configuration);
+            without_keys.replace(without_keys.find("key-1"), 5, "key-2");
+            without_keys.replace(without_keys.find("\"version\":3"), 11, "\"version\":4");
+            f.store.faults.forget_history = true;
+            f.store.put("op", "config", without_keys);
+            co_await f.pause(1000);
+            REQUIRE((co_await f.ask("POST", "/o/", "key-1")).status == 401);
+            REQUIRE((co_await f.ask("POST", "/o/", "key-2")).status == 200);
+        });
+}
+
+// Faults of the store: it refuses, resets or falls silent. What may have been withdrawn must not be
+// served, and the refusal says that nothing ran.
+TEST_CASE("requests are refused once the copy is too old, and served when the store is back")
+{
+    const int kind = GENERATE(0, 1, 2, 3);
+    fleet f;
+    standin::platform_engine& engine = f.add_engine("e1", ok());
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            REQUIRE((co_await f.ask("POST", "/o/")).status == 200);
+            f.store.faults.status = kind == 0 ? 503 : kind == 1 ? 429 : 0;
+            f.store.faults.reset = kind == 2;
+            f.store.faults.silent = kind == 3;
+            co_await f.pause(2000);
+            REQUIRE((co_await f.ask("POST", "/o/")).status == 200);
+            co_await f.pause(3000);
+            const std::size_t before = engine.received().size();
+            const http_response refused = co_await f.ask("POST", "/o/");
+            REQUIRE(refused.status == 503);
+            REQUIRE_FALSE(daemon::find_field(refused.fields, "Retry-After").empty());
+            REQUIRE((co_await f.get(f.settings.readiness, "/v1/readyz")).status == 503);
+            REQUIRE(engine.received().size() == before);
+            f.store.faults = {};
+            co_await f.pause(2500);
+            REQUIRE((co_await f.ask("POST", "/o/")).status == 200);
+        });
+}
+
+TEST_CASE("an answer of the store that is lost delays nothing but the router's own row")
+{
+    fleet f;
+    f.store.faults.lose_writes = true;
+    f.add_engine("e1", ok());
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            REQUIRE((co_await f.ask("POST", "/o/")).status == 200);
+            REQUIRE(f.store.get("endivestage-routers", "r1").find("127.0.0.1") !=
+                    std::string::npos);
+        });
+}
+
+TEST_CASE("the directory names a router that serves, and none that stops")
+{
+    fleet f;
+    f.add_engine("e1", ok());
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            const std::string target = "/v1/resolve?name=t.example&region=region&zone=zone-a";
+            const http_response answer = co_await f.get(f.settings.directory, target);
+            REQUIRE(answer.status == 200);
+            REQUIRE(answer.body.find(to_string(f.settings.callers)) != std::string::npos);
+            f.router->stop();
+            REQUIRE((co_await f.get(f.settings.directory, target)).status == 503);
+            REQUIRE((co_await f.get(f.settings.readiness, "/v1/readyz")).status == 503);
+            // Callers still hold earlier answers.
+            REQUIRE((co_await f.ask("POST", "/o/")).status == 200);
+        });
+}
+
+// Guards against a loop that spins on the store: each call is paid for.
+TEST_CASE("an idle router makes few calls")
+{
+    fleet f;
+    f.add_engine("e1", ok());
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            co_await f.pause(500);
+            const std::uint64_t calls = f.store.calls();
+            co_await f.pause(1000);
+            REQUIRE(f.store.calls() - calls <= 8);
+        });
+}
--- /dev/null
+++ b/tests/daemon_serving_settings_test.cpp
@@ -0,0 +1,64 @@
+#include <endivestage/serving/settings.hpp>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace endivestage;
+using namespace endivestage::serving;
+
+namespace
+{
+
+const std::string good = R"({
+ "router": {"name":"r1","zone":"z","region":"r","host":"10.0.0.1","peer_port":7340,"cpu_share":0.25},
+ "listen": {"callers":"10.0.0.1:1","readiness":"10.0.0.1:2","directory":"10.0.0.1:3","metrics":"10.0.0.1:4"},
+ "platform": {"table_service":"10.0.0.9:80"},
+ "bounds": {"revocation_ms":5000,"repeat_ratio":0.2,"repeat_window_s":10,"repeat_allowance":58,"cold_overshoot":1.5,
+  "cold_slack":5,"stop_grace_s":8,"address_lifetime_s":5}, "unknown": 1})";
+
+std::string replace(std::string text, const std::string& from, const std::string& to)
+{
+    const std::size_t at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+bool has_fault(const settings_outcome& outcome, const std::string& key, const std::string& reason)
+{
+    return std::any_of(outcome.faults.begin(), outcome.faults.end(),
+                       [&](const settings_fault& fault)
+                       { return fault.key == key && fault.reason == reason; });
+}
+
+} // namespace
+
+TEST_CASE("settings are read with their units, unknown members are ignored")
+{
+    const settings_outcome outcome = parse_server_settings(good);
+    REQUIRE(outcome.faults.empty());
+    REQUIRE(outcome.settings.name == router_id("r1"));
+    REQUIRE(outcome.settings.bounds.stop_grace == millis{8000});
+    REQUIRE(outcome.settings.bounds.repeats.window == millis{10000});
+    REQUIRE(outcome.settings.table_service.port == 80);
+}
+
+// Guards against an operator who mends one mistake at a time: every fault is named at once.
+TEST_CASE("each mistake gives one fault with its key")
+{
+    std::string bad = replace(good, "\"10.0.0.1:1\"", "\"nowhere\"");
+    bad = replace(bad, "\"zone\":\"z\",", "");
+    bad = replace(bad, "\"cold_slack\":5", "\"cold_slack\":\"five\"");
+    bad = replace(bad, "\"peer_port\":7340", "\"peer_port\":99999");
+    const settings_outcome outcome = parse_server_settings(bad);
+    REQUIRE(outcome.faults.size() == 4);
+    REQUIRE(has_fault(outcome, "listen.callers", "not_an_address"));
+    REQUIRE(has_fault(outcome, "router.zone", "missing"));
+    REQUIRE(has_fault(outcome, "bounds.cold_slack", "not_a_number"));
+    REQUIRE(has_fault(outcome, "router.peer_port", "out_of_range"));
+}
+
+TEST_CASE("text that is no JSON object is one fault")
+{
+    REQUIRE(parse_server_settings("{").faults.size() == 1);
+    REQUIRE(parse_server_settings("[]").faults.size() == 1);
+}
