--- a/cmake/page_tests.cmake
+++ b/cmake/page_tests.cmake
@@ -7,3 +7,5 @@
 set_tests_properties(operators_page PROPERTIES ENVIRONMENT "BUILD=${CMAKE_BINARY_DIR}" TIMEOUT 60)
 add_test(NAME glossary_page COMMAND "${CMAKE_SOURCE_DIR}/tests/glossary_page.sh")
 set_tests_properties(glossary_page PROPERTIES TIMEOUT 60)
+add_test(NAME operations_page COMMAND "${CMAKE_SOURCE_DIR}/tests/operations_page.sh")
+set_tests_properties(operations_page PROPERTIES ENVIRONMENT "BUILD=${CMAKE_BINARY_DIR}" TIMEOUT 60)
--- a/endivestage/daemon/http_connection.cpp
+++ b/endivestage/daemon/http_connection.cpp
@@ -53,7 +53,7 @@
     beast::tcp_stream stream;
     beast::flat_buffer buf;
     std::optional<http::response_parser<http::buffer_body>> parser;
-    std::unique_ptr<char[]> body = // NOLINT(*-avoid-c-arrays)
+    std::unique_ptr<char[]> body =                                 // NOLINT(*-avoid-c-arrays)
         std::make_unique_for_overwrite<char[]>(read_buffer_bytes); // NOLINT(*-avoid-c-arrays)
     bool sending = false;
     bool send_failed = false;
--- a/endivestage/daemon/http_server.hpp
+++ b/endivestage/daemon/http_server.hpp
@@ -53,9 +53,9 @@
     std::size_t header_bytes = 16384;
     std::size_t body_bytes = 4194304;
     std::size_t connections = 20000;
-    millis idle{75000};  ///< Time for the first byte of a request to arrive.
+    millis idle{75000};    ///< Time for the first byte of a request to arrive.
     millis request{75000}; ///< Time from its first byte for a complete request to arrive.
-    millis write{30000}; ///< Time for a caller to take one chunk.
+    millis write{30000};   ///< Time for a caller to take one chunk.
 };
 
 /// \brief Accepts connections and runs the handler on each request.
--- a/endivestage/daemon/logging.cpp
+++ b/endivestage/daemon/logging.cpp
@@ -302,9 +302,8 @@
     for (const std::pair<std::string, std::uint64_t>& kind : state.limit->take_dropped())
     {
         write_line(state, log_level::warning, "events_dropped",
-                   std::vector<log_field>{{"kind", kind.first},
-                                          {"count", kind.second},
-                                          {"reason", "rate"}});
+                   std::vector<log_field>{
+                       {"kind", kind.first}, {"count", kind.second}, {"reason", "rate"}});
     }
     const std::uint64_t dropped = state.bounded->dropped();
     if (dropped > state.reported)
--- a/endivestage/daemon/logging.hpp
+++ b/endivestage/daemon/logging.hpp
@@ -32,7 +32,7 @@
     log_level lowest = log_level::info; ///< Events below it are dropped.
     /// Write to stdout without ever waiting for its reader, with a limit for each kind of event.
     bool bounded = false;
-    double lines_per_s = 100.0; ///< Of one kind of event, when bounded; twice as many at once.
+    double lines_per_s = 100.0;     ///< Of one kind of event, when bounded; twice as many at once.
     std::size_t most_queued = 2000; ///< Lines kept for a slow reader, when bounded.
 };
 
--- a/endivestage/replication/source_choice.hpp
+++ b/endivestage/replication/source_choice.hpp
@@ -31,7 +31,7 @@
     millis stale_after{1900};
     /// A relay whose copy is older than this has lost the table service: its next poll is overdue.
     millis relay_stale_after{1500};
-    millis distrust{3000};     ///< A router that failed as a relay is passed over for this long.
+    millis distrust{3000}; ///< A router that failed as a relay is passed over for this long.
 };
 
 /// \brief Where the next changes come from.
--- a/endivestage/routing/attempt_policy.hpp
+++ b/endivestage/routing/attempt_policy.hpp
@@ -13,10 +13,10 @@
 /// \brief What happened to one request so far.
 struct attempt_history
 {
-    std::uint32_t sends = 0;       ///< Requests that may have reached an endpoint.
+    std::uint32_t sends = 0;         ///< Requests that may have reached an endpoint.
     std::uint32_t possible_runs = 0; ///< Sends without proof that they were not executed.
     std::uint32_t connect_failures = 0;
-    bool answer_begun = false;     ///< The caller has received part of an answer.
+    bool answer_begun = false; ///< The caller has received part of an answer.
 };
 
 /// \brief Time that a request has left.
@@ -29,10 +29,10 @@
 /// \brief The next step for a request.
 enum class next_step
 {
-    try_another,   ///< Send to another endpoint; takes from the repeat budget if it was sent before.
-    refuse,        ///< Answer that it was not executed; the caller may come back.
-    deliver,       ///< Pass the endpoint's own failure on.
-    fail,          ///< Answer that the outcome is unknown or the request failed.
+    try_another, ///< Send to another endpoint; takes from the repeat budget if it was sent before.
+    refuse,      ///< Answer that it was not executed; the caller may come back.
+    deliver,     ///< Pass the endpoint's own failure on.
+    fail,        ///< Answer that the outcome is unknown or the request failed.
 };
 
 /// \returns The snake_case name of a step.
--- a/endivestage/routing/endpoint_choice.cpp
+++ b/endivestage/routing/endpoint_choice.cpp
@@ -35,8 +35,7 @@
 
 double chat_score(std::uint64_t chat, const endpoint_state& endpoint)
 {
-    return rendezvous_score(chat, endpoint.hash,
-                            std::max<std::uint32_t>(1, endpoint.record.slots));
+    return rendezvous_score(chat, endpoint.hash, std::max<std::uint32_t>(1, endpoint.record.slots));
 }
 
 bool contains(std::span<const endpoint_id> ids, const endpoint_id& id)
--- a/endivestage/routing/endpoint_choice.hpp
+++ b/endivestage/routing/endpoint_choice.hpp
@@ -42,17 +42,17 @@
 ///
 /// With a chat: the chat's rendezvous order, so that returning chats find their cache without any
 /// table; engines that are known to hold the history come first, so that a chat stays where it is
-/// when engines join; engines above the load bound come after those below it. Without: least loaded first.
-/// Cold endpoints keep their rank; the caller sends to them within a \ref cold_share only. Avoided
-/// endpoints come last, so that a request is still tried when all are avoided.
+/// when engines join; engines above the load bound come after those below it. Without: least loaded
+/// first. Cold endpoints keep their rank; the caller sends to them within a \ref cold_share only.
+/// Avoided endpoints come last, so that a request is still tried when all are avoided.
 std::vector<const endpoint_state*> rank_endpoints(const endpoint_directory& directory,
                                                   const choice_input& input,
                                                   const choice_config& config);
 
 /// \brief The first two endpoints for a chat by rendezvous hashing alone.
 ///
-/// Every router knows them without being told: a router that knows nothing else of a chat copies its
-/// history from these.
+/// Every router knows them without being told: a router that knows nothing else of a chat copies
+/// its history from these.
 struct chat_homes
 {
     std::uint64_t first = 0;  ///< Hash of the endpoint's id; 0 without endpoints.
--- a/endivestage/routing/endpoint_directory.cpp
+++ b/endivestage/routing/endpoint_directory.cpp
@@ -38,9 +38,9 @@
 {
     endpoint_state& state = endpoints_[record.id];
     const bool known = !state.record.id.empty();
-    const bool restarted = known && (state.record.started_at != record.started_at ||
-                                     state.record.host != record.host ||
-                                     state.record.port != record.port);
+    const bool restarted =
+        known && (state.record.started_at != record.started_at ||
+                  state.record.host != record.host || state.record.port != record.port);
     if (restarted)
     {
         const std::uint32_t in_flight = state.in_flight;
--- a/endivestage/routing/endpoint_directory.hpp
+++ b/endivestage/routing/endpoint_directory.hpp
@@ -24,7 +24,7 @@
     std::uint16_t port = 0;
     zone_id zone;
     bool draining = false;
-    millis cold_left{0};        ///< How long it stays cold, from when the record was read.
+    millis cold_left{0};         ///< How long it stays cold, from when the record was read.
     std::int64_t started_at = 0; ///< Unix time in ms of its start; 0 when unknown.
     std::uint32_t slots = 1;
 };
@@ -32,12 +32,12 @@
 /// \brief How a request to an endpoint ended, as far as it tells about the endpoint.
 enum class endpoint_outcome
 {
-    served,        ///< A complete answer.
-    failed,        ///< An answer that reports a failure of the endpoint itself.
-    shed,          ///< Refused as not executed.
-    misdirected,   ///< Another endpoint has the address now.
-    unreachable,   ///< No connection could be made.
-    broken,        ///< The connection ended, or the time ran out, before the answer was complete.
+    served,      ///< A complete answer.
+    failed,      ///< An answer that reports a failure of the endpoint itself.
+    shed,        ///< Refused as not executed.
+    misdirected, ///< Another endpoint has the address now.
+    unreachable, ///< No connection could be made.
+    broken,      ///< The connection ended, or the time ran out, before the answer was complete.
 };
 
 /// \returns The snake_case name of an outcome.
--- a/endivestage/routing/prefix_directory.cpp
+++ b/endivestage/routing/prefix_directory.cpp
@@ -13,7 +13,8 @@
 
 bool prefix_directory::holds(const entry& part, std::uint64_t engine, time_point now) const
 {
-    return std::any_of(part.holders.begin(), part.holders.end(), [&](const holder& h)
+    return std::any_of(part.holders.begin(), part.holders.end(),
+                       [&](const holder& h)
                        { return h.engine == engine && now - h.seen < lifetime_; });
 }
 
--- a/endivestage/routing/route_table.cpp
+++ b/endivestage/routing/route_table.cpp
@@ -36,9 +36,9 @@
     }
     for (auto it = by_host_.begin(); it != by_host_.end(); ++it)
     {
-        std::stable_sort(
-            it->second.begin(), it->second.end(), [this](std::size_t a, std::size_t b)
-            { return routes_[a].path_prefix.size() > routes_[b].path_prefix.size(); });
+        std::stable_sort(it->second.begin(), it->second.end(),
+                         [this](std::size_t a, std::size_t b)
+                         { return routes_[a].path_prefix.size() > routes_[b].path_prefix.size(); });
     }
     for (std::size_t n = 0; n < teams_.size(); ++n)
     {
--- a/endivestage/serving/dialect.hpp
+++ b/endivestage/serving/dialect.hpp
@@ -22,14 +22,14 @@
 struct caller_request
 {
     request_id id;
-    std::string host; ///< Without a port.
-    std::string path; ///< Without the query.
-    std::string key;  ///< Of a team; empty when none was sent.
-    std::optional<millis> deadline;            ///< Time that the caller waits.
-    std::optional<std::uint64_t> chat;         ///< Hash of the chat that it continues.
-    std::optional<std::uint64_t> last_event;   ///< Last event of a broken stream that it has.
-    std::vector<prompt_part> shared_prompt; ///< Parts that other requests may share, in order.
-    std::uint32_t prompt_tokens = 0;        ///< 0 when unknown.
+    std::string host;                        ///< Without a port.
+    std::string path;                        ///< Without the query.
+    std::string key;                         ///< Of a team; empty when none was sent.
+    std::optional<millis> deadline;          ///< Time that the caller waits.
+    std::optional<std::uint64_t> chat;       ///< Hash of the chat that it continues.
+    std::optional<std::uint64_t> last_event; ///< Last event of a broken stream that it has.
+    std::vector<prompt_part> shared_prompt;  ///< Parts that other requests may share, in order.
+    std::uint32_t prompt_tokens = 0;         ///< 0 when unknown.
 };
 
 /// \brief What a router adds to a request that it sends to an endpoint.
@@ -39,7 +39,7 @@
     team_id team;         ///< Empty on anonymous routes.
     std::uint32_t priority = 0;
     millis time_left{0};
-    std::optional<std::uint64_t> last_event; ///< Continue a stream after this event.
+    std::optional<std::uint64_t> last_event;          ///< Continue a stream after this event.
     std::optional<daemon::network_address> copy_from; ///< Engine that holds more of the prompt.
 };
 
@@ -50,11 +50,11 @@
     bool not_executed = false; ///< The endpoint states that it did not execute the request.
     bool misdirected = false;  ///< Another endpoint has the address.
     bool success = false;
-    bool events = false;                 ///< The body is a stream of events.
-    bool genuine = false;                ///< Marked as made by an endpoint.
-    std::optional<double> load;          ///< Requests that the endpoint holds.
-    std::optional<millis> cold_left;     ///< How long the endpoint stays cold.
-    std::optional<millis> idle_timeout;  ///< The endpoint closes idle connections after this.
+    bool events = false;                ///< The body is a stream of events.
+    bool genuine = false;               ///< Marked as made by an endpoint.
+    std::optional<double> load;         ///< Requests that the endpoint holds.
+    std::optional<millis> cold_left;    ///< How long the endpoint stays cold.
+    std::optional<millis> idle_timeout; ///< The endpoint closes idle connections after this.
 };
 
 /// \brief Translates between the wire and the product's types.
--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -40,8 +40,8 @@
 
 } // namespace
 
-exchange::exchange(boost::asio::any_io_executor executor, router_state& state,
-                   http_request request, caller_request decoded, daemon::response_writer& caller)
+exchange::exchange(boost::asio::any_io_executor executor, router_state& state, http_request request,
+                   caller_request decoded, daemon::response_writer& caller)
     : executor_(std::move(executor)),
       state_(state),
       request_(std::move(request)),
@@ -69,16 +69,17 @@
     const millis took = state_.time.now() - request_.received;
     const bool streaming = route_ != nullptr && route_->streaming;
     state_.metrics.request_ended(result, streaming, took);
-    log_event(log_level::info, "request_answered",
-              {{"request", decoded_.id},
-               {"route", route_ != nullptr ? std::string_view(route_->name) : std::string_view("-")},
-               {"result", result},
-               {"status", status},
-               {"endpoint", last_endpoint_},
-               {"sends", history_.sends},
-               {"runs", history_.possible_runs},
-               {"config", routes_ ? routes_->version() : 0},
-               {"took_ms", took}});
+    log_event(
+        log_level::info, "request_answered",
+        {{"request", decoded_.id},
+         {"route", route_ != nullptr ? std::string_view(route_->name) : std::string_view("-")},
+         {"result", result},
+         {"status", status},
+         {"endpoint", last_endpoint_},
+         {"sends", history_.sends},
+         {"runs", history_.possible_runs},
+         {"config", routes_ ? routes_->version() : 0},
+         {"took_ms", took}});
 }
 
 awaitable<void> exchange::run()
@@ -169,8 +170,7 @@
     return nullptr;
 }
 
-std::optional<daemon::network_address>
-exchange::find_copy_source(const endpoint_id& target) const
+std::optional<daemon::network_address> exchange::find_copy_source(const endpoint_id& target) const
 {
     const time_point now = state_.time.now();
     const std::uint64_t target_hash = hash64(target.view());
@@ -246,7 +246,7 @@
             !budget.try_repeat(state_.time.now(), state_.routers.size()))
         {
             log_event(log_level::info, "repeat_denied", {{"request", decoded_.id}});
-            step = outcome == endpoint_outcome::failed ? next_step::deliver
+            step = outcome == endpoint_outcome::failed                     ? next_step::deliver
                    : history_.possible_runs == 0 && !history_.answer_begun ? next_step::refuse
                                                                            : next_step::fail;
         }
@@ -355,19 +355,20 @@
 {
     const endpoint_state* endpoint = state_.endpoints.find(what.endpoint);
     const time_point now = state_.time.now();
-    log_event(log_level::info, "request_placed",
-              {{"request", decoded_.id},
-               {"route", route_->name},
-               {"endpoint", what.endpoint},
-               {"load", endpoint != nullptr ? state_.endpoints.estimated_load(*endpoint, now) : 0.0},
-               {"cold", endpoint != nullptr && endpoint->cold(now)},
-               {"history", decoded_.chat && state_.prefixes.holds(*decoded_.chat,
-                                                                  hash64(what.endpoint.view()), now)},
-               {"copy_from", what.copy_from ? to_string(*what.copy_from) : std::string()},
-               {"send", history_.sends + 1},
-               {"config", routes_->version()},
-               {"copy_age_ms", state_.lease.age(now).value_or(millis{-1})},
-               {"left_ms", what.time_left}});
+    log_event(
+        log_level::info, "request_placed",
+        {{"request", decoded_.id},
+         {"route", route_->name},
+         {"endpoint", what.endpoint},
+         {"load", endpoint != nullptr ? state_.endpoints.estimated_load(*endpoint, now) : 0.0},
+         {"cold", endpoint != nullptr && endpoint->cold(now)},
+         {"history", decoded_.chat &&
+                         state_.prefixes.holds(*decoded_.chat, hash64(what.endpoint.view()), now)},
+         {"copy_from", what.copy_from ? to_string(*what.copy_from) : std::string()},
+         {"send", history_.sends + 1},
+         {"config", routes_->version()},
+         {"copy_age_ms", state_.lease.age(now).value_or(millis{-1})},
+         {"left_ms", what.time_left}});
 }
 
 void exchange::keep_connection(const endpoint_id& endpoint)
@@ -404,8 +405,8 @@
                   {{"request", decoded_.id},
                    {"endpoint", last_endpoint_},
                    {"status", answer.head.status}});
-        result<std::string> skipped = co_await daemon::read_body(
-            *connection_, until - state_.time.now(), answer_limit_bytes);
+        result<std::string> skipped =
+            co_await daemon::read_body(*connection_, until - state_.time.now(), answer_limit_bytes);
         if (!skipped)
         {
             co_return skipped.error();
--- a/endivestage/serving/exchange.hpp
+++ b/endivestage/serving/exchange.hpp
@@ -66,7 +66,7 @@
     const service_profile* profile_ = nullptr;
     team_id team_;
     std::uint32_t priority_ = 0;
-    time_point end_; ///< Earlier of the caller's deadline and the route's timeout.
+    time_point end_;              ///< Earlier of the caller's deadline and the route's timeout.
     bool late_for_route_ = false; ///< The route's timeout ends before the caller's deadline.
 
     std::shared_ptr<daemon::http_connection> connection_;
--- a/endivestage/serving/peer_service.cpp
+++ b/endivestage/serving/peer_service.cpp
@@ -104,29 +104,28 @@
 
 void peer_service::receive()
 {
-    socket_.async_receive_from(
-        asio::buffer(buf_), sender_,
-        [this](const boost::system::error_code& ec, std::size_t n)
-        {
-            if (ec == asio::error::operation_aborted)
-            {
-                return;
-            }
-            const std::string_view text(buf_.data(), ec ? 0 : n);
-            if (text.starts_with(sightings_tag))
-            {
-                take_sightings(text);
-            }
-            else if (!ec)
-            {
-                const result<packet> content = decode_packet(text);
-                if (content)
-                {
-                    carry_out(detector_.receive(*content, time_.now()));
-                }
-            }
-            receive();
-        });
+    socket_.async_receive_from(asio::buffer(buf_), sender_,
+                               [this](const boost::system::error_code& ec, std::size_t n)
+                               {
+                                   if (ec == asio::error::operation_aborted)
+                                   {
+                                       return;
+                                   }
+                                   const std::string_view text(buf_.data(), ec ? 0 : n);
+                                   if (text.starts_with(sightings_tag))
+                                   {
+                                       take_sightings(text);
+                                   }
+                                   else if (!ec)
+                                   {
+                                       const result<packet> content = decode_packet(text);
+                                       if (content)
+                                       {
+                                           carry_out(detector_.receive(*content, time_.now()));
+                                       }
+                                   }
+                                   receive();
+                               });
 }
 
 void peer_service::tick()
@@ -187,8 +186,9 @@
 {
     std::vector<relay_address> peers = live();
     // Push to ln(n) + 1 peers each: few routers stay out, and these copy once more than needed.
-    const std::size_t fan_out = std::min(
-        peers.size(), static_cast<std::size_t>(std::log(static_cast<double>(peers.size() + 1)) + 1));
+    const std::size_t fan_out =
+        std::min(peers.size(),
+                 static_cast<std::size_t>(std::log(static_cast<double>(peers.size() + 1)) + 1));
     for (std::size_t n = 0; n < fan_out; ++n)
     {
         std::swap(peers[n], peers[n + random_.below(peers.size() - n)]);
@@ -228,7 +228,8 @@
         const result<json::object> fields = daemon::parse_json_object(row.data);
         if (!fields)
         {
-            log_event(log_level::warning, "row_unreadable", {{"table", "routers"}, {"key", row.key}});
+            log_event(log_level::warning, "row_unreadable",
+                      {{"table", "routers"}, {"key", row.key}});
             continue;
         }
         known_router known;
@@ -241,7 +242,8 @@
         known.weight = daemon::get_real(*fields, "weight", 1.0);
         if (known.who.host.empty() || known.who.port == 0)
         {
-            log_event(log_level::warning, "row_unreadable", {{"table", "routers"}, {"key", row.key}});
+            log_event(log_level::warning, "row_unreadable",
+                      {{"table", "routers"}, {"key", row.key}});
             continue;
         }
         routers_[id] = std::move(known);
--- a/endivestage/serving/peer_service.hpp
+++ b/endivestage/serving/peer_service.hpp
@@ -3,8 +3,8 @@
 #pragma once
 
 #include <endivestage/core.hpp>
-#include <endivestage/serving/replication_service.hpp>
 #include <endivestage/membership.hpp>
+#include <endivestage/serving/replication_service.hpp>
 
 #include <array>
 #include <boost/asio/io_context.hpp>
--- a/endivestage/serving/replication_service.cpp
+++ b/endivestage/serving/replication_service.cpp
@@ -110,10 +110,9 @@
     }
     uLongf size = compressBound(answer.body.size());
     std::string packed(size, '\0');
-    const int outcome =
-        compress2(reinterpret_cast<Bytef*>(packed.data()), &size,
-                  reinterpret_cast<const Bytef*>(answer.body.data()), answer.body.size(),
-                  Z_BEST_SPEED);
+    const int outcome = compress2(reinterpret_cast<Bytef*>(packed.data()), &size,
+                                  reinterpret_cast<const Bytef*>(answer.body.data()),
+                                  answer.body.size(), Z_BEST_SPEED);
     if (outcome == Z_OK)
     {
         answer.fields.emplace_back("Content-Encoding", "deflate");
@@ -136,9 +135,8 @@
         return make_error_code(errc::too_large);
     }
     std::string unpacked(size, '\0');
-    const int outcome =
-        uncompress(reinterpret_cast<Bytef*>(unpacked.data()), &size,
-                   reinterpret_cast<const Bytef*>(body.data()), body.size());
+    const int outcome = uncompress(reinterpret_cast<Bytef*>(unpacked.data()), &size,
+                                   reinterpret_cast<const Bytef*>(body.data()), body.size());
     if (outcome != Z_OK || size != unpacked.size())
     {
         return make_error_code(errc::invalid_request);
@@ -218,8 +216,8 @@
 }
 
 replication_service::replication_service(asio::io_context& context, const clock& time,
-                                         table_source& source, router_id self,
-                                         source_choice choice, replication_callbacks callbacks)
+                                         table_source& source, router_id self, source_choice choice,
+                                         replication_callbacks callbacks)
     : self_(std::move(self)),
       context_(context),
       time_(time),
@@ -359,7 +357,7 @@
         renew(std::max(sent, service_clock_.earliest_local(answer->stamp).value_or(sent)));
     }
     callbacks_.updated();
-    co_return table == shared_table::endpoints && changed ? endpoints_pause : millis{0};
+    co_return table == shared_table::endpoints&& changed ? endpoints_pause : millis{0};
 }
 
 awaitable<void> replication_service::follow_service(shared_table table)
@@ -383,11 +381,11 @@
     const bool relaying = source.what == change_source::kind::service;
     if (relaying != relaying_ || source.relay != source_)
     {
-        log_event(log_level::info, "source_changed",
-                  {{"source", source.relay.empty() ? std::string("table_service")
-                                                   : source.relay.str()},
-                   {"relaying", relaying},
-                   {"age_ms", age().value_or(millis{-1})}});
+        log_event(
+            log_level::info, "source_changed",
+            {{"source", source.relay.empty() ? std::string("table_service") : source.relay.str()},
+             {"relaying", relaying},
+             {"age_ms", age().value_or(millis{-1})}});
     }
     relaying_ = relaying;
     source_ = source.relay;
@@ -434,8 +432,9 @@
             co_await refresh();
             continue;
         }
-        const auto it = std::find_if(live.begin(), live.end(), [&](const relay_address& relay)
-                                     { return relay.who.id == source.relay; });
+        const auto it =
+            std::find_if(live.begin(), live.end(),
+                         [&](const relay_address& relay) { return relay.who.id == source.relay; });
         relay_address chosen = *it;
         co_await ask_relay(std::move(chosen));
     }
--- a/endivestage/serving/replication_service.hpp
+++ b/endivestage/serving/replication_service.hpp
@@ -4,8 +4,8 @@
 
 #include <endivestage/daemon/http_connection.hpp>
 #include <endivestage/daemon/http_server.hpp>
-#include <endivestage/serving/table_source.hpp>
 #include <endivestage/routing.hpp>
+#include <endivestage/serving/table_source.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -88,10 +88,10 @@
 
     struct service_state
     {
-        bool reached = false;        ///< The last call succeeded.
-        std::int64_t failures = 0;   ///< In a row.
+        bool reached = false;      ///< The last call succeeded.
+        std::int64_t failures = 0; ///< In a row.
         time_point last_success{-1};
-        time_point settled_at{-1};   ///< Deletions before this may be lapses of an outage.
+        time_point settled_at{-1}; ///< Deletions before this may be lapses of an outage.
     };
 
     router_id self_;
--- a/endivestage/serving/request_service.cpp
+++ b/endivestage/serving/request_service.cpp
@@ -8,7 +8,8 @@
 namespace endivestage::serving
 {
 
-daemon::awaitable<void> request_service::serve(http_request request, daemon::response_writer& caller)
+daemon::awaitable<void> request_service::serve(http_request request,
+                                               daemon::response_writer& caller)
 {
     result<caller_request> decoded = state_.wire.decode_request(request);
     if (!decoded)
--- a/endivestage/serving/router_metrics.cpp
+++ b/endivestage/serving/router_metrics.cpp
@@ -53,12 +53,15 @@
 void router_metrics::set(const router_gauges& values)
 {
     const auto put = [this](std::string_view name, std::string_view help, double value)
-    { registry_.get_gauge(name, help).set(value); };
+    {
+        registry_.get_gauge(name, help).set(value);
+    };
     put("endivestage_open_requests", "Requests being served.",
         static_cast<double>(values.open_requests));
     put("endivestage_idle_connections", "Kept connections to endpoints without a request.",
         static_cast<double>(values.idle_connections));
-    put("endivestage_endpoints", "Endpoints that are known.", static_cast<double>(values.endpoints));
+    put("endivestage_endpoints", "Endpoints that are known.",
+        static_cast<double>(values.endpoints));
     put("endivestage_routers", "Routers that may be running, this one included.",
         static_cast<double>(values.routers));
     put("endivestage_config_version", "Version of the configuration in force.",
--- a/endivestage/serving/router_state.hpp
+++ b/endivestage/serving/router_state.hpp
@@ -3,10 +3,10 @@
 #pragma once
 
 #include <endivestage/core.hpp>
+#include <endivestage/routing.hpp>
 #include <endivestage/serving/dialect.hpp>
 #include <endivestage/serving/endpoint_pool.hpp>
 #include <endivestage/serving/router_metrics.hpp>
-#include <endivestage/routing.hpp>
 
 #include <cstdint>
 #include <map>
@@ -21,11 +21,11 @@
 /// \brief Bounds that the operator's platform sets; the product keeps within them.
 struct server_bounds
 {
-    millis revocation{5000};      ///< A withdrawn key must not be served later than this.
-    repeat_limit repeats;         ///< Over all routers, per service.
-    double cold_overshoot = 1.5;  ///< Factor on a cold endpoint's rate in any second.
-    double cold_slack = 5.0;      ///< Requests in any second besides.
-    millis stop_grace{8000};      ///< A process that was asked to stop is killed after this.
+    millis revocation{5000};       ///< A withdrawn key must not be served later than this.
+    repeat_limit repeats;          ///< Over all routers, per service.
+    double cold_overshoot = 1.5;   ///< Factor on a cold endpoint's rate in any second.
+    double cold_slack = 5.0;       ///< Requests in any second besides.
+    millis stop_grace{8000};       ///< A process that was asked to stop is killed after this.
     millis address_lifetime{2000}; ///< Callers keep an address answer this long.
 };
 
@@ -66,13 +66,13 @@
     endpoint_directory endpoints;
     std::map<service_id, repeat_budget> repeats;
     cold_share cold;
-    knowledge_lease lease; ///< Of the operator's table.
+    knowledge_lease lease;          ///< Of the operator's table.
     std::vector<router_id> routers; ///< That may be running, this one included.
     router_metrics metrics;
     endpoint_pool pool;
     prefix_directory prefixes;
     std::vector<load_sighting> loads; ///< Heard from engines; not yet told to a relay.
-    std::vector<sighting> news; ///< Of prefixes; not yet told to other routers.
+    std::vector<sighting> news;       ///< Of prefixes; not yet told to other routers.
     choice_config choice;
     serving_state serving = serving_state::starting;
     std::size_t open_requests = 0;
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -74,7 +74,8 @@
       ports_(std::move(ports)),
       state_(time_, *ports_.wire, settings_.bounds, settings_.name),
       service_(context.get_executor(), state_),
-      callers_(context, to_http_limits({}), [this](http_request request, response_writer& writer)
+      callers_(context, to_http_limits({}),
+               [this](http_request request, response_writer& writer)
                { return service_.serve(std::move(request), writer); }),
       readiness_(context, {},
                  [this](http_request request, response_writer& writer) -> awaitable<void>
@@ -114,8 +115,8 @@
       stop_(stop_times(settings_.bounds))
 {
     state_.routers = {settings_.name};
-    state_.random = seeded_random(hash64(settings_.name.view(),
-                                         static_cast<std::uint64_t>(time_.wall_now().since_epoch)));
+    state_.random = seeded_random(
+        hash64(settings_.name.view(), static_cast<std::uint64_t>(time_.wall_now().since_epoch)));
 }
 
 std::error_code server::start()
@@ -174,8 +175,7 @@
             self.incarnation = std::max(self.incarnation, peer_service::incarnation(row) + 1);
         }
     }
-    peers_ =
-        std::make_unique<peer_service>(context_, time_, std::move(self), settings_.cpu_share);
+    peers_ = std::make_unique<peer_service>(context_, time_, std::move(self), settings_.cpu_share);
     peers_->on_change([this] { refresh_routers(); });
     const std::error_code ec = peers_->start();
     if (ec)
@@ -188,10 +188,21 @@
     replication_callbacks callbacks;
     callbacks.changed =
         [this](shared_table table, std::span<const replicated_row> rows, bool settling)
-    { take_changes(table, rows, settling); };
-    callbacks.current_at = [this](time_point instant) { state_.lease.renew(instant); };
-    callbacks.updated = [this] { check_serving(); };
-    callbacks.take_loads = [this] { return std::exchange(state_.loads, {}); };
+    {
+        take_changes(table, rows, settling);
+    };
+    callbacks.current_at = [this](time_point instant)
+    {
+        state_.lease.renew(instant);
+    };
+    callbacks.updated = [this]
+    {
+        check_serving();
+    };
+    callbacks.take_loads = [this]
+    {
+        return std::exchange(state_.loads, {});
+    };
     callbacks.loads = [this](std::span<const load_sighting> loads)
     {
         for (const load_sighting& seen : loads)
@@ -211,8 +222,8 @@
         live.push_back(std::move(self_address));
         return live;
     };
-    replication_ = std::make_unique<replication_service>(context_, time_, *ports_.tables,
-                                                         settings_.name, std::move(choice), std::move(callbacks));
+    replication_ = std::make_unique<replication_service>(
+        context_, time_, *ports_.tables, settings_.name, std::move(choice), std::move(callbacks));
     replication_->start(listed_routers);
     peers_->on_sighting(
         [this](const sighting& seen)
@@ -359,10 +370,9 @@
             continue;
         }
         state_.endpoints.update(*record, time_.now());
-        log_event(log_level::info, "endpoint_updated",
-                  {{"endpoint", id},
-                   {"draining", record->draining},
-                   {"cold_ms", record->cold_left}});
+        log_event(
+            log_level::info, "endpoint_updated",
+            {{"endpoint", id}, {"draining", record->draining}, {"cold_ms", record->cold_left}});
     }
 }
 
@@ -403,8 +413,7 @@
         self.live = true;
         routers.push_back(std::move(self));
     }
-    const std::vector<relay_address> live =
-        peers_ ? peers_->live() : std::vector<relay_address>{};
+    const std::vector<relay_address> live = peers_ ? peers_->live() : std::vector<relay_address>{};
     for (const relay_address& peer : live)
     {
         router_status other;
--- a/endivestage/serving/server.hpp
+++ b/endivestage/serving/server.hpp
@@ -125,9 +125,8 @@
 /// \brief Runs a router with the settings in a file until it is asked to stop.
 /// \param make_ports Makes the platform's adapter for the settings.
 /// \returns An exit code.
-int run_server(
-    const std::string& settings_file,
-    const std::function<platform_ports(boost::asio::io_context&, const server_settings&)>&
-        make_ports);
+int run_server(const std::string& settings_file,
+               const std::function<platform_ports(boost::asio::io_context&,
+                                                  const server_settings&)>& make_ports);
 
 } // namespace endivestage::serving
--- a/endivestage/serving/settings.cpp
+++ b/endivestage/serving/settings.cpp
@@ -98,8 +98,8 @@
 
     void add(std::string_view section, std::string_view key, std::string_view reason)
     {
-        faults_.push_back({std::string(section) + "." + std::string(key), errc::invalid_settings,
-                           reason});
+        faults_.push_back(
+            {std::string(section) + "." + std::string(key), errc::invalid_settings, reason});
     }
 
     const json::object& root_;
@@ -138,8 +138,8 @@
     s.bounds.cold_overshoot = reader.number("bounds", "cold_overshoot", 1, 100);
     s.bounds.cold_slack = reader.number("bounds", "cold_slack", 0, 1e6);
     s.bounds.stop_grace = reader.seconds("bounds", "stop_grace_s", 1, 600);
-    s.bounds.address_lifetime = 
-        std::min(reader.seconds("bounds", "address_lifetime_s", 0.5, 600), longest_address_lifetime);
+    s.bounds.address_lifetime = std::min(reader.seconds("bounds", "address_lifetime_s", 0.5, 600),
+                                         longest_address_lifetime);
     return outcome;
 }
 
--- a/endivestage/serving/settings.hpp
+++ b/endivestage/serving/settings.hpp
@@ -18,7 +18,7 @@
     router_id name;
     zone_id zone;
     region_id region;
-    std::string host;           ///< IP address of this host.
+    std::string host;            ///< IP address of this host.
     std::uint16_t peer_port = 0; ///< TCP and UDP, for other routers.
     daemon::network_address callers;
     daemon::network_address readiness;
--- a/endivestage/serving/table_source.hpp
+++ b/endivestage/serving/table_source.hpp
@@ -48,8 +48,7 @@
 
     /// \returns Rows changed after \p revision, as soon as there is one, or none after \p wait.
     virtual daemon::awaitable<result<timed_batch>> changes(shared_table table,
-                                                           std::uint64_t revision,
-                                                           millis wait) = 0;
+                                                           std::uint64_t revision, millis wait) = 0;
 
     /// \brief Writes a row whatever it held before.
     virtual daemon::awaitable<std::error_code> write(shared_table table, std::string key,
--- a/endivestage/timeline/log_record.cpp
+++ b/endivestage/timeline/log_record.cpp
@@ -84,10 +84,17 @@
 
 bool is_context(const log_record& record, const std::set<std::string, std::less<>>& endpoints)
 {
-    static const std::set<std::string, std::less<>> about_router{
-        "table_service_lost", "table_service_reached", "source_changed", "configuration_adopted",
-        "configuration_refused", "zone_changed", "stopping", "stopped", "started", "serving",
-        "events_dropped"};
+    static const std::set<std::string, std::less<>> about_router{"table_service_lost",
+                                                                 "table_service_reached",
+                                                                 "source_changed",
+                                                                 "configuration_adopted",
+                                                                 "configuration_refused",
+                                                                 "zone_changed",
+                                                                 "stopping",
+                                                                 "stopped",
+                                                                 "started",
+                                                                 "serving",
+                                                                 "events_dropped"};
     return about_router.contains(record.event) || endpoints.contains(record.field("endpoint"));
 }
 
@@ -162,7 +169,8 @@
             }
         }
     }
-    std::stable_sort(merged.begin(), merged.end(), [](const placed_record& a, const placed_record& b)
+    std::stable_sort(merged.begin(), merged.end(),
+                     [](const placed_record& a, const placed_record& b)
                      { return a.at_ms < b.at_ms; });
     return merged;
 }
--- a/standin/platform_store.cpp
+++ b/standin/platform_store.cpp
@@ -43,7 +43,8 @@
 
 platform_store::platform_store(asio::io_context& context)
     : context_(context),
-      server_(context, {}, [this](http_request request, response_writer& writer)
+      server_(context, {},
+              [this](http_request request, response_writer& writer)
               { return answer(std::move(request), writer); })
 {
 }
--- a/tests/attempt_policy_test.cpp
+++ b/tests/attempt_policy_test.cpp
@@ -33,7 +33,7 @@
 
 } // namespace
 
-// Fault: an engine runs a request and its answer is lost. A second send would place an order twice.
+// Fault: the answer to an executed request is lost. A second send would place an order twice.
 TEST_CASE("a request that may run once is not sent again after a broken answer")
 {
     const route once = make_route(repeatability::at_most_once, 2);
@@ -93,43 +93,44 @@
 // again after a send without proof.
 TEST_CASE("the promise of a refusal holds for every history")
 {
-    rc::check(
-        "promise",
-        []
-        {
-            const repeatability repeat = *rc::gen::element(
-                repeatability::at_most_once, repeatability::idempotent, repeatability::resumable);
-            const route where =
-                make_route(repeat, static_cast<std::uint32_t>(*rc::gen::inRange(1, 4)));
-            const endpoint_outcome outcome = *rc::gen::element(
-                endpoint_outcome::failed, endpoint_outcome::shed, endpoint_outcome::misdirected,
-                endpoint_outcome::unreachable, endpoint_outcome::broken);
-            const std::uint32_t runs = static_cast<std::uint32_t>(*rc::gen::inRange(0, 4));
-            attempt_history history = make_history(
-                runs + static_cast<std::uint32_t>(*rc::gen::inRange(0, 3)), runs,
-                runs > 0 && *rc::gen::arbitrary<bool>());
-            const bool counts_as_run =
-                outcome == endpoint_outcome::failed || outcome == endpoint_outcome::broken;
-            if (counts_as_run && runs == 0)
-            {
-                history.possible_runs = 1;
-                history.sends = std::max(history.sends, 1U);
-            }
-            const next_step step = decide_next_step(
-                where, outcome, history, {millis{*rc::gen::inRange(0, 3000)}, millis{150}});
-            if (step == next_step::refuse)
-            {
-                RC_ASSERT(history.possible_runs == 0U);
-            }
-            if (step == next_step::try_another && repeat == repeatability::at_most_once)
-            {
-                RC_ASSERT(history.possible_runs == 0U);
-            }
-            if (step == next_step::try_another)
-            {
-                RC_ASSERT(history.possible_runs < std::max(where.max_attempts, 1U));
-            }
-        });
+    rc::check("promise",
+              []
+              {
+                  const repeatability repeat =
+                      *rc::gen::element(repeatability::at_most_once, repeatability::idempotent,
+                                        repeatability::resumable);
+                  const route where =
+                      make_route(repeat, static_cast<std::uint32_t>(*rc::gen::inRange(1, 4)));
+                  const endpoint_outcome outcome =
+                      *rc::gen::element(endpoint_outcome::failed, endpoint_outcome::shed,
+                                        endpoint_outcome::misdirected,
+                                        endpoint_outcome::unreachable, endpoint_outcome::broken);
+                  const std::uint32_t runs = static_cast<std::uint32_t>(*rc::gen::inRange(0, 4));
+                  attempt_history history =
+                      make_history(runs + static_cast<std::uint32_t>(*rc::gen::inRange(0, 3)), runs,
+                                   runs > 0 && *rc::gen::arbitrary<bool>());
+                  const bool counts_as_run =
+                      outcome == endpoint_outcome::failed || outcome == endpoint_outcome::broken;
+                  if (counts_as_run && runs == 0)
+                  {
+                      history.possible_runs = 1;
+                      history.sends = std::max(history.sends, 1U);
+                  }
+                  const next_step step = decide_next_step(
+                      where, outcome, history, {millis{*rc::gen::inRange(0, 3000)}, millis{150}});
+                  if (step == next_step::refuse)
+                  {
+                      RC_ASSERT(history.possible_runs == 0U);
+                  }
+                  if (step == next_step::try_another && repeat == repeatability::at_most_once)
+                  {
+                      RC_ASSERT(history.possible_runs == 0U);
+                  }
+                  if (step == next_step::try_another)
+                  {
+                      RC_ASSERT(history.possible_runs < std::max(where.max_attempts, 1U));
+                  }
+              });
     SUCCEED();
 }
 
--- a/tests/daemon_bounded_log_test.cpp
+++ b/tests/daemon_bounded_log_test.cpp
@@ -55,7 +55,7 @@
     }
 
     int ends[2] = {-1, -1};
-    log4cplus::SharedObjectPtr<bounded_appender> appender;
+    log4cplus::helpers::SharedObjectPtr<bounded_appender> appender;
 };
 
 const log4cplus::Initializer library;
--- a/tests/daemon_platform_path_test.cpp
+++ b/tests/daemon_platform_path_test.cpp
@@ -168,8 +168,7 @@
         {
             co_return failed;
         }
-        result<std::string> body =
-            co_await daemon::read_body(connection, millis{8000}, 1U << 20U);
+        result<std::string> body = co_await daemon::read_body(connection, millis{8000}, 1U << 20U);
         if (!body)
         {
             co_return failed;
@@ -210,7 +209,10 @@
 
 standin::platform_engine::script ok(const std::string& body = "done")
 {
-    return [body](const http_request& request) { return keep(make_answer(request, 200, body)); };
+    return [body](const http_request& request)
+    {
+        return keep(make_answer(request, 200, body));
+    };
 }
 
 } // namespace
@@ -223,8 +225,7 @@
     f.run(
         [&]() -> awaitable<void>
         {
-            const http_response answer =
-                co_await f.ask("POST", "/o/x?y=%20z", "key-1", "the body");
+            const http_response answer = co_await f.ask("POST", "/o/x?y=%20z", "key-1", "the body");
             REQUIRE(answer.status == 200);
             REQUIRE(answer.body == "done");
             REQUIRE(daemon::find_field(answer.fields, "X-Origin-Seal") == "seal");
@@ -237,8 +238,8 @@
             REQUIRE(daemon::find_field(got.fields, "X-Expect-Instance") == "e1");
             REQUIRE(daemon::find_field(got.fields, "Authorization").empty());
             REQUIRE(daemon::find_field(got.fields, "X-Pin-Ms").empty());
-            const int left = std::atoi(
-                std::string(daemon::find_field(got.fields, "X-Deadline-Ms")).c_str());
+            const int left =
+                std::atoi(std::string(daemon::find_field(got.fields, "X-Deadline-Ms")).c_str());
             REQUIRE(left > 0);
             REQUIRE(left <= 1500);
         });
@@ -252,10 +253,19 @@
     f.run(
         [&]() -> awaitable<void>
         {
-            REQUIRE((co_await f.ask("GET", "/nowhere/")).status == 404);
-            REQUIRE((co_await f.ask("POST", "/o/", "wrong")).status == 401);
+            {
+                const http_response got = co_await f.ask("GET", "/nowhere/");
+                REQUIRE(got.status == 404);
+            }
+            {
+                const http_response got = co_await f.ask("POST", "/o/", "wrong");
+                REQUIRE(got.status == 401);
+            }
             REQUIRE(engine.received().empty());
-            REQUIRE((co_await f.ask("GET", "/i/", "wrong")).status == 200);
+            {
+                const http_response got = co_await f.ask("GET", "/i/", "wrong");
+                REQUIRE(got.status == 200);
+            }
         });
 }
 
@@ -315,10 +325,9 @@
     bool reset = false;
     const auto unframed = [&](const http_request& request)
     {
-        const std::string head =
-            "HTTP/1.1 200 OK\r\nX-Attempt-Id: " +
-            std::string(daemon::find_field(request.fields, "X-Attempt-Id")) +
-            "\r\nX-Origin-Seal: seal\r\n\r\n";
+        const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " +
+                                 std::string(daemon::find_field(request.fields, "X-Attempt-Id")) +
+                                 "\r\nX-Origin-Seal: seal\r\n\r\n";
         return engine_reply{{head + "unframed"},
                             millis{0},
                             reset ? engine_reply::ending::reset : engine_reply::ending::close};
@@ -347,24 +356,39 @@
                          {"SSH-2.0-nonsense\r\n\r\n"}, millis{0}, engine_reply::ending::keep};
                  });
     f.start_router();
-    f.run([&]() -> awaitable<void> { REQUIRE((co_await f.ask("POST", "/o/")).status == 502); });
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            {
+                const http_response got = co_await f.ask("POST", "/o/");
+                REQUIRE(got.status == 502);
+            }
+        });
 }
 
-// Fault: an engine runs a request and its answer is lost. The order must not be placed twice.
+// Fault: the answer to an executed request is lost. The order must not be placed twice.
 TEST_CASE("a request that may run once is sent once when its answer is lost")
 {
     fleet f;
     const auto lost = [](const http_request&)
-    { return engine_reply{{}, millis{0}, engine_reply::ending::reset}; };
+    {
+        return engine_reply{{}, millis{0}, engine_reply::ending::reset};
+    };
     f.add_engine("e1", lost);
     f.add_engine("e2", lost);
     f.start_router();
     f.run(
         [&]() -> awaitable<void>
         {
-            REQUIRE((co_await f.ask("POST", "/o/")).status == 502);
+            {
+                const http_response got = co_await f.ask("POST", "/o/");
+                REQUIRE(got.status == 502);
+            }
             REQUIRE(f.engines[0]->received().size() + f.engines[1]->received().size() == 1);
-            REQUIRE((co_await f.ask("GET", "/i/")).status == 502);
+            {
+                const http_response got = co_await f.ask("GET", "/i/");
+                REQUIRE(got.status == 502);
+            }
             REQUIRE(f.engines[0]->received().size() + f.engines[1]->received().size() == 3);
         });
 }
@@ -373,11 +397,10 @@
 TEST_CASE("a request goes on to another engine after proof that it did not run")
 {
     fleet f;
-    f.add_engine("e1",
-                 [](const http_request& request)
+    f.add_engine("e1", [](const http_request& request)
                  { return keep(make_answer(request, 503, "", "X-Not-Executed: 1\r\n")); });
-    f.add_engine("e2", [](const http_request& request)
-                 { return keep(make_answer(request, 421, "")); });
+    f.add_engine("e2",
+                 [](const http_request& request) { return keep(make_answer(request, 421, "")); });
     f.add_engine("e3", ok("third"));
     f.start_router();
     f.run(
@@ -395,8 +418,7 @@
 TEST_CASE("a request that no engine takes is refused as not run, with a time to come back")
 {
     fleet f;
-    f.add_engine("e1",
-                 [](const http_request& request)
+    f.add_engine("e1", [](const http_request& request)
                  { return keep(make_answer(request, 503, "", "X-Not-Executed: 1\r\n")); });
     f.start_router();
     f.run(
@@ -449,17 +471,20 @@
 TEST_CASE("a caller that leaves ends the work at the engine")
 {
     fleet f;
-    standin::platform_engine& engine = f.add_engine(
-        "e1", [](const http_request&)
-        { return engine_reply{{}, millis{0}, engine_reply::ending::hang}; });
+    standin::platform_engine& engine =
+        f.add_engine("e1",
+                     [](const http_request&) {
+                         return engine_reply{{}, millis{0}, engine_reply::ending::hang};
+                     });
     f.start_router();
     f.run(
         [&]() -> awaitable<void>
         {
             {
                 daemon::http_connection caller(f.context.get_executor());
-                REQUIRE_FALSE(
-                    co_await caller.connect(f.settings.callers, millis{1000}, millis{1000}));
+                const std::error_code ec =
+                    co_await caller.connect(f.settings.callers, millis{1000}, millis{1000});
+                REQUIRE_FALSE(ec);
                 http_request request;
                 request.method = "POST";
                 request.target = "/o/";
@@ -493,7 +518,10 @@
         {
             for (int n = 0; n < 6; ++n)
             {
-                REQUIRE((co_await f.ask("POST", "/o/")).body == "there");
+                {
+                    const http_response got = co_await f.ask("POST", "/o/");
+                    REQUIRE(got.body == "there");
+                }
             }
         });
 }
@@ -512,7 +540,10 @@
         {
             for (int n = 0; n < 6; ++n)
             {
-                REQUIRE((co_await f.ask("POST", "/o/")).body == "stays");
+                {
+                    const http_response got = co_await f.ask("POST", "/o/");
+                    REQUIRE(got.body == "stays");
+                }
             }
             REQUIRE(leaving.received().empty());
         });
@@ -526,13 +557,22 @@
     f.run(
         [&]() -> awaitable<void>
         {
-            REQUIRE((co_await f.ask("POST", "/o/")).status == 200);
+            {
+                const http_response got = co_await f.ask("POST", "/o/");
+                REQUIRE(got.status == 200);
+            }
             f.store.put("op", "evacuate/zone-a", "{}");
             co_await f.pause(400);
-            REQUIRE((co_await f.ask("POST", "/o/")).status == 503);
+            {
+                const http_response got = co_await f.ask("POST", "/o/");
+                REQUIRE(got.status == 503);
+            }
             f.store.erase("op", "evacuate/zone-a");
             co_await f.pause(400);
-            REQUIRE((co_await f.ask("POST", "/o/")).status == 200);
+            {
+                const http_response got = co_await f.ask("POST", "/o/");
+                REQUIRE(got.status == 200);
+            }
         });
 }
 
@@ -551,8 +591,14 @@
             f.store.faults.forget_history = true;
             f.store.put("op", "config", without_keys);
             co_await f.pause(1000);
-            REQUIRE((co_await f.ask("POST", "/o/", "key-1")).status == 401);
-            REQUIRE((co_await f.ask("POST", "/o/", "key-2")).status == 200);
+            {
+                const http_response got = co_await f.ask("POST", "/o/", "key-1");
+                REQUIRE(got.status == 401);
+            }
+            {
+                const http_response got = co_await f.ask("POST", "/o/", "key-2");
+                REQUIRE(got.status == 200);
+            }
         });
 }
 
@@ -567,22 +613,34 @@
     f.run(
         [&]() -> awaitable<void>
         {
-            REQUIRE((co_await f.ask("POST", "/o/")).status == 200);
+            {
+                const http_response got = co_await f.ask("POST", "/o/");
+                REQUIRE(got.status == 200);
+            }
             f.store.faults.status = kind == 0 ? 503 : kind == 1 ? 429 : 0;
             f.store.faults.reset = kind == 2;
             f.store.faults.silent = kind == 3;
             co_await f.pause(2000);
-            REQUIRE((co_await f.ask("POST", "/o/")).status == 200);
+            {
+                const http_response got = co_await f.ask("POST", "/o/");
+                REQUIRE(got.status == 200);
+            }
             co_await f.pause(3000);
             const std::size_t before = engine.received().size();
             const http_response refused = co_await f.ask("POST", "/o/");
             REQUIRE(refused.status == 503);
             REQUIRE_FALSE(daemon::find_field(refused.fields, "Retry-After").empty());
-            REQUIRE((co_await f.get(f.settings.readiness, "/v1/readyz")).status == 503);
+            {
+                const http_response got = co_await f.get(f.settings.readiness, "/v1/readyz");
+                REQUIRE(got.status == 503);
+            }
             REQUIRE(engine.received().size() == before);
             f.store.faults = {};
             co_await f.pause(2500);
-            REQUIRE((co_await f.ask("POST", "/o/")).status == 200);
+            {
+                const http_response got = co_await f.ask("POST", "/o/");
+                REQUIRE(got.status == 200);
+            }
         });
 }
 
@@ -595,7 +653,10 @@
     f.run(
         [&]() -> awaitable<void>
         {
-            REQUIRE((co_await f.ask("POST", "/o/")).status == 200);
+            {
+                const http_response got = co_await f.ask("POST", "/o/");
+                REQUIRE(got.status == 200);
+            }
             REQUIRE(f.store.get("endivestage-routers", "r1").find("127.0.0.1") !=
                     std::string::npos);
         });
@@ -614,10 +675,19 @@
             REQUIRE(answer.status == 200);
             REQUIRE(answer.body.find(to_string(f.settings.callers)) != std::string::npos);
             f.router->stop();
-            REQUIRE((co_await f.get(f.settings.directory, target)).status == 503);
-            REQUIRE((co_await f.get(f.settings.readiness, "/v1/readyz")).status == 503);
+            {
+                const http_response got = co_await f.get(f.settings.directory, target);
+                REQUIRE(got.status == 503);
+            }
+            {
+                const http_response got = co_await f.get(f.settings.readiness, "/v1/readyz");
+                REQUIRE(got.status == 503);
+            }
             // Callers still hold earlier answers.
-            REQUIRE((co_await f.ask("POST", "/o/")).status == 200);
+            {
+                const http_response got = co_await f.ask("POST", "/o/");
+                REQUIRE(got.status == 200);
+            }
         });
 }
 
--- a/tests/endpoint_directory_test.cpp
+++ b/tests/endpoint_directory_test.cpp
@@ -44,8 +44,8 @@
     REQUIRE(count_available(directory, {3}) == 0);
 }
 
-// Fails without the limit at the time of the choice: a leaving endpoint whose record went right after
-// an outage of the table got a request 2.1 s later (cedarfold, fresh-73c7).
+// Fails without the limit at the time of the choice: a leaving endpoint whose record went right
+// after an outage of the table got a request 2.1 s later (cedarfold, fresh-73c7).
 TEST_CASE("an endpoint whose record lapsed in an outage is used for a bounded time")
 {
     endpoint_directory directory;
--- a/tests/load_board_test.cpp
+++ b/tests/load_board_test.cpp
@@ -4,8 +4,9 @@
 
 using namespace endivestage;
 
-// Load: 71 routers before 90 engines, each of which hears from one engine every ten seconds. Without
-// shared loads 181 of 3,150 requests reached engines above twice the mean (cedarfold-grown scale-1).
+// Load: 71 routers before 90 engines, each of which hears from one engine every ten seconds.
+// Without shared loads 181 of 3,150 requests reached engines above twice the mean (cedarfold-grown
+// scale-1).
 TEST_CASE("a reader gets the latest load of each engine once")
 {
     load_board board;
--- a/tests/prefix_directory_test.cpp
+++ b/tests/prefix_directory_test.cpp
@@ -55,7 +55,10 @@
 {
     prefix_directory directory(64, millis{1000});
     directory.served(prompt, engine_a, {0});
-    const auto not_a = [](std::uint64_t engine) { return engine != engine_a; };
+    const auto not_a = [](std::uint64_t engine)
+    {
+        return engine != engine_a;
+    };
     REQUIRE_FALSE(directory.find_source(prompt, engine_c, not_a, least, {20}));
     REQUIRE_FALSE(directory.find_source(prompt, engine_c, any_engine, least, {2000}));
     directory.forget(engine_a);
--- a/tests/send_limits_test.cpp
+++ b/tests/send_limits_test.cpp
@@ -46,7 +46,9 @@
     for (std::int64_t start = 30000; start < 50000; start += 500)
     {
         const auto inside = [&](time_point t)
-        { return t >= time_point{start} && t < time_point{start + 10000}; };
+        {
+            return t >= time_point{start} && t < time_point{start + 10000};
+        };
         const auto first_count = std::count_if(firsts.begin(), firsts.end(), inside);
         const auto repeat_count = std::count_if(repeats.begin(), repeats.end(), inside);
         REQUIRE(static_cast<double>(repeat_count) <=
@@ -77,26 +79,25 @@
 // endpoint than it bears, also when none can reach another.
 TEST_CASE("sends of all routers to a cold endpoint stay within its bound")
 {
-    rc::check(
-        "cold bound",
-        []
-        {
-            const std::size_t fleet = static_cast<std::size_t>(*rc::gen::inRange(1, 120));
-            const double rate = *rc::gen::inRange(20, 300) / 10.0;
-            const cold_limit limit{rate, rate * 1.5 + 5.0};
-            const std::vector<router_id> routers = make_routers(fleet);
-            const endpoint_id endpoint("engine-" + std::to_string(*rc::gen::inRange(0, 50)));
-            double sent = 0.0;
-            for (const router_id& self : routers)
-            {
-                cold_share share(self);
-                for (std::int64_t t = 0; t < 1000; t += 50)
-                {
-                    sent += share.try_send(endpoint, limit, routers, {t}) ? 1.0 : 0.0;
-                }
-            }
-            RC_ASSERT(sent <= limit.most_in_a_second);
-        });
+    rc::check("cold bound",
+              []
+              {
+                  const std::size_t fleet = static_cast<std::size_t>(*rc::gen::inRange(1, 120));
+                  const double rate = *rc::gen::inRange(20, 300) / 10.0;
+                  const cold_limit limit{rate, rate * 1.5 + 5.0};
+                  const std::vector<router_id> routers = make_routers(fleet);
+                  const endpoint_id endpoint("engine-" + std::to_string(*rc::gen::inRange(0, 50)));
+                  double sent = 0.0;
+                  for (const router_id& self : routers)
+                  {
+                      cold_share share(self);
+                      for (std::int64_t t = 0; t < 1000; t += 50)
+                      {
+                          sent += share.try_send(endpoint, limit, routers, {t}) ? 1.0 : 0.0;
+                      }
+                  }
+                  RC_ASSERT(sent <= limit.most_in_a_second);
+              });
     SUCCEED();
 }
 
--- a/tests/source_choice_test.cpp
+++ b/tests/source_choice_test.cpp
@@ -1,7 +1,7 @@
 #include <endivestage/replication.hpp>
 
-#include <catch2/catch.hpp>
 #include <algorithm>
+#include <catch2/catch.hpp>
 
 using namespace endivestage;
 
--- a/tests/table_replica_test.cpp
+++ b/tests/table_replica_test.cpp
@@ -20,8 +20,7 @@
 {
     table_replica replica;
     REQUIRE(replica.apply({{make_row("a", 1), make_row("b", 2)}, 2, true}).size() == 2);
-    const std::vector<replicated_row> changed =
-        replica.apply({{make_row("b", 5)}, 6, true});
+    const std::vector<replicated_row> changed = replica.apply({{make_row("b", 5)}, 6, true});
     REQUIRE(changed.size() == 2);
     REQUIRE(changed[0] == make_row("b", 5));
     REQUIRE(changed[1].deleted);
@@ -57,29 +56,28 @@
 // with its relay's rows.
 TEST_CASE("followers converge to their relay")
 {
-    rc::check(
-        "followers converge",
-        []
-        {
-            table_replica relay(4);
-            table_replica follower(4);
-            std::uint64_t revision = 1;
-            relay.apply({{}, revision, true});
-            const int steps = *rc::gen::inRange(1, 40);
-            for (int n = 0; n < steps; ++n)
-            {
-                const std::string key(1, static_cast<char>('a' + *rc::gen::inRange(0, 4)));
-                const bool deleted = *rc::gen::arbitrary<bool>();
-                ++revision;
-                relay.apply({{make_row(key, revision, deleted)}, revision, false});
-                if (*rc::gen::inRange(0, 5) == 0)
-                {
-                    follower.apply(relay.changes_since(follower.revision().value_or(0)));
-                }
-            }
-            follower.apply(relay.changes_since(follower.revision().value_or(0)));
-            RC_ASSERT(follower.rows() == relay.rows());
-            RC_ASSERT(follower.revision() == relay.revision());
-        });
+    rc::check("followers converge",
+              []
+              {
+                  table_replica relay(4);
+                  table_replica follower(4);
+                  std::uint64_t revision = 1;
+                  relay.apply({{}, revision, true});
+                  const int steps = *rc::gen::inRange(1, 40);
+                  for (int n = 0; n < steps; ++n)
+                  {
+                      const std::string key(1, static_cast<char>('a' + *rc::gen::inRange(0, 4)));
+                      const bool deleted = *rc::gen::arbitrary<bool>();
+                      ++revision;
+                      relay.apply({{make_row(key, revision, deleted)}, revision, false});
+                      if (*rc::gen::inRange(0, 5) == 0)
+                      {
+                          follower.apply(relay.changes_since(follower.revision().value_or(0)));
+                      }
+                  }
+                  follower.apply(relay.changes_since(follower.revision().value_or(0)));
+                  RC_ASSERT(follower.rows() == relay.rows());
+                  RC_ASSERT(follower.revision() == relay.revision());
+              });
     SUCCEED();
 }
