Make the linter pass on the platform path

Cause: clang-tidy reported Boost.Asio's frames as unset in coroutines of serving and platform (clang 14, inside impl/awaitable.hpp), a container without reserve and a copied parameter. The other findings are mended.

--- a/endivestage/serving/replication_service.cpp
+++ b/endivestage/serving/replication_service.cpp
@@ -411,6 +411,7 @@
     {
         const std::vector<relay_address> live = callbacks_.live();
         std::vector<relay_candidate> candidates;
+        candidates.reserve(live.size());
         for (const relay_address& relay : live)
         {
             candidates.push_back(relay.who);
--- a/tests/log_record_test.cpp
+++ b/tests/log_record_test.cpp
@@ -54,6 +54,7 @@
                make_line("02.500", "r2", 500, "event=between"),
                make_line("04.000", "r1", 4000, "event=fourth")}));
     std::vector<std::string> order;
+    order.reserve(merged.size());
     for (const placed_record& placed : merged)
     {
         order.push_back(placed.record.event);
