Resolve references in comments of routing and replication

Cause: the documentation test failed: three references named enumerators and a class that Doxygen could not resolve. Change: plain words instead. Before: documentation failed. After: passed. Conclusion: comments only; no code changed.

--- a/endivestage/replication/source_choice.hpp
+++ b/endivestage/replication/source_choice.hpp
@@ -39,7 +39,7 @@
 {
     enum class kind
     {
-        relay,   ///< Another router, \ref change_source::relay.
+        relay,   ///< Another router.
         service, ///< The table service all the time: this router relays.
         refresh, ///< The table service once, since the copy is stale or no relay is left.
     };
--- a/endivestage/routing/attempt_policy.hpp
+++ b/endivestage/routing/attempt_policy.hpp
@@ -38,7 +38,7 @@
 /// \returns The snake_case name of a step.
 std::string_view to_string(next_step step);
 
-/// \brief Decides after an attempt. Keeps the promise behind \ref next_step::refuse: it is chosen
+/// \brief Decides after an attempt. Keeps the promise "not executed": refuse is chosen
 /// only when no endpoint can have executed the request.
 ///
 /// A request that may be executed once is never sent again without proof that the earlier send was
--- a/endivestage/routing/endpoint_choice.hpp
+++ b/endivestage/routing/endpoint_choice.hpp
@@ -43,7 +43,7 @@
 /// With a chat: the chat's rendezvous order, so that returning chats find their cache without any
 /// table; engines that are known to hold the history come first, so that a chat stays where it is
 /// when engines join; engines above the load bound come after those below it. Without: least loaded
-/// first. Cold endpoints keep their rank; the caller sends to them within a \ref cold_share only.
+/// first. Cold endpoints keep their rank; the caller sends to them within a share only.
 /// Avoided endpoints come last, so that a request is still tried when all are avoided.
 std::vector<const endpoint_state*> rank_endpoints(const endpoint_directory& directory,
                                                   const choice_input& input,
