Remove state of an exchange that nothing reads

Cause: answered_ and late_for_route_ were only written, and a copy of the number of sends was used once. Change: they are gone; behaviour is the same. After: daemon_platform_path_test passes (203 assertions).

--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -10,7 +10,6 @@
 
 using daemon::awaitable;
 using daemon::log_event;
-using daemon::log_field;
 using daemon::log_level;
 
 namespace
@@ -58,7 +57,6 @@
 awaitable<void> exchange::fail(int status, errc code, execution state,
                                std::optional<millis> retry_after)
 {
-    answered_ = true;
     http_response answer = state_.wire.encode_failure(status, code, state, retry_after);
     log_end(to_string(code), status);
     co_await caller_.send(std::move(answer));
@@ -120,10 +118,6 @@
     {
         end_ = request_.received + *decoded_.deadline;
     }
-    else
-    {
-        late_for_route_ = true;
-    }
     service_ = choose_target(*route_, decoded_.chat.value_or(hash64(decoded_.id.view())));
     profile_ = routes_->find_service(service_);
     std::weak_ptr<exchange> self = weak_from_this();
@@ -208,8 +202,7 @@
             co_return;
         }
         const endpoint_record to = chosen->record;
-        const std::uint32_t sends_before = history_.sends;
-        if (sends_before == 0)
+        if (history_.sends == 0)
         {
             budget.first_send(state_.time.now());
         }
@@ -268,7 +261,6 @@
     }
     if (step == next_step::deliver)
     {
-        answered_ = true;
         http_response answer = state_.wire.encode_answer(answer_.head);
         answer.body = std::move(body_);
         log_end("endpoint_failed", answer.status);
@@ -479,7 +471,6 @@
     {
         co_return endpoint_outcome::broken;
     }
-    answered_ = true;
     http_response complete = state_.wire.encode_answer(answer_.head);
     complete.body = std::move(body_);
     log_end("served", complete.status);
@@ -552,7 +543,6 @@
             {
                 co_return endpoint_outcome::broken;
             }
-            answered_ = true;
             log_end("served", answer_.head.status);
             co_await caller_.end();
             co_return endpoint_outcome::served;
--- a/endivestage/serving/exchange.hpp
+++ b/endivestage/serving/exchange.hpp
@@ -66,13 +66,11 @@
     const service_profile* profile_ = nullptr;
     team_id team_;
     std::uint32_t priority_ = 0;
-    time_point end_;              ///< Earlier of the caller's deadline and the route's timeout.
-    bool late_for_route_ = false; ///< The route's timeout ends before the caller's deadline.
+    time_point end_; ///< Earlier of the caller's deadline and the route's timeout.
 
     std::shared_ptr<daemon::http_connection> connection_;
     bool reused_ = false;
     bool caller_left_ = false;
-    bool answered_ = false;
     attempt_history history_;
     std::vector<endpoint_id> tried_;
     chat_homes homes_;
