Share sums of open requests instead of loads that engines report

Engines report their load with the head of an answer, and a busy engine sends its head late; besides, each of the three relays knew only what its own followers had heard. Change: each router tells its relay what it has open at each engine, relays tell each other the sums of their followers by datagram every 0.2 s, and routers read the fleet's sums with their polls. Readers that change their relay start anew (numbers of another board meant nothing). Chats are placed by the sums; plain requests by the router's own view, since they end before a sum arrives. A fleet whose relays just changed knows the sums only in part for a second.

--- a/endivestage/routing/endpoint_choice.cpp
+++ b/endivestage/routing/endpoint_choice.cpp
@@ -61,7 +61,10 @@
     {
         candidate c;
         c.endpoint = endpoint;
-        c.load = directory.estimated_load(*endpoint, input.now);
+        // Plain requests end long before the fleet's sums arrive: all routers would go to the one
+        // endpoint that was idle a quarter of a second ago.
+        c.load = input.chat ? directory.estimated_load(*endpoint, input.now)
+                            : directory.observed_load(*endpoint, input.now);
         c.avoided = input.now < endpoint->avoid_until ||
                     endpoint->failure_rate > usual_rate + config.failure_margin;
         total += c.load;
--- a/endivestage/routing/endpoint_directory.cpp
+++ b/endivestage/routing/endpoint_directory.cpp
@@ -172,6 +172,41 @@
     }
 }
 
+std::vector<engine_requests> endpoint_directory::open_requests() const
+{
+    std::vector<engine_requests> open;
+    for (auto it = endpoints_.begin(); it != endpoints_.end(); ++it)
+    {
+        if (it->second.in_flight > 0)
+        {
+            open.push_back({it->second.hash, it->second.in_flight});
+        }
+    }
+    return open;
+}
+
+void endpoint_directory::take_fleet_loads(const load_changes& changes, time_point now)
+{
+    fleet_loads_at_ = now;
+    if (changes.complete)
+    {
+        for (auto it = endpoints_.begin(); it != endpoints_.end(); ++it)
+        {
+            it->second.others_open = 0.0;
+        }
+    }
+    for (const engine_requests& sum : changes.loads)
+    {
+        const auto id = by_hash_.find(sum.engine);
+        const auto it = id == by_hash_.end() ? endpoints_.end() : endpoints_.find(id->second);
+        if (it != endpoints_.end())
+        {
+            const double own = static_cast<double>(it->second.in_flight);
+            it->second.others_open = std::max(0.0, static_cast<double>(sum.requests) - own);
+        }
+    }
+}
+
 void endpoint_directory::report_cold(const endpoint_id& id, millis left, time_point now)
 {
     const auto it = endpoints_.find(id);
@@ -212,6 +247,17 @@
 }
 
 double endpoint_directory::estimated_load(const endpoint_state& endpoint, time_point now) const
+{
+    if (now - fleet_loads_at_ > config_.fleet_loads_lifetime)
+    {
+        return observed_load(endpoint, now);
+    }
+    const double sum = static_cast<double>(endpoint.in_flight) + endpoint.others_open;
+    const bool reported = now - endpoint.load_reported_at <= config_.report_fresh;
+    return reported ? std::max(sum, observed_load(endpoint, now)) : sum;
+}
+
+double endpoint_directory::observed_load(const endpoint_state& endpoint, time_point now) const
 {
     const double own = static_cast<double>(endpoint.in_flight);
     const millis age = now - endpoint.load_reported_at;
--- a/endivestage/routing/endpoint_directory.hpp
+++ b/endivestage/routing/endpoint_directory.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <endivestage/core.hpp>
+#include <endivestage/routing/load_board.hpp>
 
 #include <cstdint>
 #include <map>
@@ -56,6 +57,7 @@
     double load_reported = 0.0;  ///< Requests that it said it holds, from all routers.
     std::uint32_t in_flight_at_report = 0;
     time_point load_reported_at{-1000000};
+    double others_open = 0.0; ///< Requests that all other routers have open, as a relay told.
     std::optional<time_point> removed_at; ///< Its record went; kept for a while after an outage.
 
     bool cold(time_point now) const { return now < cold_until; }
@@ -68,10 +70,12 @@
     /// seconds of its end. A record may also go because its endpoint leaves, and then nothing may
     /// be sent two seconds later.
     millis lapse_grace{1600};
-    millis first_avoidance{400};    ///< After one failed connection; doubles with each further.
-    millis longest_avoidance{4000}; ///< An endpoint that is back is found within this time.
-    millis report_lifetime{1500};   ///< Older load reports count half, as work has ended since.
-    millis report_memory{5000};     ///< Reports older than this say nothing about the present.
+    millis first_avoidance{400};       ///< After one failed connection; doubles with each further.
+    millis longest_avoidance{4000};    ///< An endpoint that is back is found within this time.
+    millis report_lifetime{1500};      ///< Older load reports count half, as work has ended since.
+    millis report_memory{5000};        ///< Reports older than this say nothing about the present.
+    millis report_fresh{500};          ///< Younger reports are compared with the fleet's sums.
+    millis fleet_loads_lifetime{1500}; ///< Without newer sums from a relay reports are used alone.
 };
 
 /// \brief The endpoints of all services, with what records, operators and outcomes say of them.
@@ -109,6 +113,12 @@
     /// \brief Takes the number of requests that the endpoint said it holds.
     void report_load(const endpoint_id& id, double requests, time_point now);
 
+    /// \returns What this router has open, for its relay.
+    std::vector<engine_requests> open_requests() const;
+
+    /// \brief Takes the sums of what all routers have open, this one included.
+    void take_fleet_loads(const load_changes& changes, time_point now);
+
     /// \brief The endpoint said that it is cold for this long.
     void report_cold(const endpoint_id& id, millis left, time_point now);
 
@@ -124,6 +134,9 @@
     /// \returns The estimated number of requests that the endpoint holds from all routers.
     double estimated_load(const endpoint_state& endpoint, time_point now) const;
 
+    /// \returns The same from this router's requests and the endpoint's reports alone.
+    double observed_load(const endpoint_state& endpoint, time_point now) const;
+
     std::size_t size() const { return endpoints_.size(); }
 
 private:
@@ -131,6 +144,7 @@
     std::map<endpoint_id, endpoint_state> endpoints_;
     std::unordered_map<std::uint64_t, endpoint_id> by_hash_;
     std::set<zone_id> out_of_service_;
+    time_point fleet_loads_at_{-1000000}; ///< Of the latest sums, changed or not.
 };
 
 } // namespace endivestage
--- a/endivestage/routing/load_board.cpp
+++ b/endivestage/routing/load_board.cpp
@@ -1,26 +1,117 @@
 #include <endivestage/routing/load_board.hpp>
 
+#include <algorithm>
+#include <cstdlib>
+
 namespace endivestage
 {
 
-void load_board::post(const load_sighting& seen)
+void load_board::remove(const source& gone)
+{
+    for (const std::pair<const std::uint64_t, std::uint32_t>& part : gone.open)
+    {
+        engines_[part.first].requests -= part.second;
+    }
+}
+
+void load_board::replace(std::uint64_t key, bool group, std::span<const engine_requests> open,
+                         time_point now)
 {
-    entries_[seen.engine] = {seen.requests, ++sequence_};
+    source& from = sources_[key];
+    remove(from);
+    from.open.clear();
+    from.group = group;
+    from.reported_at = now;
+    for (const engine_requests& part : open)
+    {
+        from.open[part.engine] += part.requests;
+        engines_[part.engine].requests += part.requests;
+    }
+}
+
+void load_board::report(std::uint64_t router, std::span<const engine_requests> open, time_point now)
+{
+    replace(router, false, open, now);
+}
+
+void load_board::report_group(std::uint64_t relay, std::span<const engine_requests> open,
+                              time_point now)
+{
+    // A router is counted once, as a follower here or with the relay that it follows; the latest
+    // report decides. A relay that also reports as a follower has just changed its role.
+    replace(relay, true, open, now);
+}
+
+void load_board::refresh(time_point now)
+{
+    for (auto it = sources_.begin(); it != sources_.end();)
+    {
+        if (now - it->second.reported_at > config_.source_lifetime)
+        {
+            remove(it->second);
+            it = sources_.erase(it);
+        }
+        else
+        {
+            ++it;
+        }
+    }
+    for (auto it = engines_.begin(); it != engines_.end();)
+    {
+        entry& engine = it->second;
+        const std::int64_t difference =
+            std::abs(engine.requests - static_cast<std::int64_t>(engine.told));
+        const bool large = difference >= config_.least_change &&
+                           static_cast<double>(difference) >=
+                               config_.least_ratio * static_cast<double>(engine.told);
+        if (large || (difference > 0 && now - engine.told_at >= config_.settle))
+        {
+            engine.told = static_cast<std::uint32_t>(engine.requests);
+            engine.told_at = now;
+            engine.number = ++sequence_;
+        }
+        const bool idle = engine.requests == 0 && engine.told == 0;
+        it =
+            idle && now - engine.told_at > config_.idle_memory ? engines_.erase(it) : std::next(it);
+    }
 }
 
-std::vector<load_sighting> load_board::since(std::uint64_t since) const
+std::vector<engine_requests> load_board::group(time_point now)
 {
-    std::vector<load_sighting> loads;
-    // A reader that asked another relay before has a number that means nothing here.
-    const std::uint64_t after = since > sequence_ ? 0 : since;
-    for (const std::pair<const std::uint64_t, entry>& known : entries_)
+    refresh(now);
+    std::map<std::uint64_t, std::uint32_t> sums;
+    for (const std::pair<const std::uint64_t, source>& from : sources_)
     {
-        if (known.second.number > after)
+        for (const std::pair<const std::uint64_t, std::uint32_t>& part : from.second.open)
         {
-            loads.push_back({known.first, known.second.requests});
+            sums[part.first] += from.second.group ? 0 : part.second;
+        }
+    }
+    std::vector<engine_requests> loads;
+    for (const std::pair<const std::uint64_t, std::uint32_t>& sum : sums)
+    {
+        if (sum.second > 0)
+        {
+            loads.push_back({sum.first, sum.second});
         }
     }
     return loads;
 }
 
+load_changes load_board::changes_since(std::uint64_t since, time_point now)
+{
+    refresh(now);
+    load_changes changes;
+    changes.complete = since == 0;
+    changes.up_to = sequence_;
+    for (const std::pair<const std::uint64_t, entry>& engine : engines_)
+    {
+        if (changes.complete ? engine.second.told > 0 : engine.second.number > since)
+        {
+            changes.loads.push_back({engine.first, engine.second.told});
+        }
+    }
+    return changes;
+}
+
 } // namespace endivestage
--- a/endivestage/routing/load_board.hpp
+++ b/endivestage/routing/load_board.hpp
@@ -1,52 +1,98 @@
 /// \file
-/// \brief Loads of engines as the routers of a fleet saw them last.
+/// \brief How many requests the routers of a fleet have open at each engine.
 #pragma once
 
 #include <endivestage/core.hpp>
 
 #include <cstdint>
 #include <map>
+#include <span>
 #include <vector>
 
 namespace endivestage
 {
 
-/// \brief An engine said how many requests it holds.
-struct load_sighting
+/// \brief Requests that one or several routers have open at an engine.
+struct engine_requests
 {
-    std::uint64_t engine = 0;   ///< Hash of the engine's id.
-    std::uint32_t requests = 0; ///< Running and waiting, from all routers.
+    std::uint64_t engine = 0; ///< Hash of the engine's id.
+    std::uint32_t requests = 0;
 
-    bool operator==(const load_sighting&) const = default;
+    bool operator==(const engine_requests&) const = default;
 };
 
-/// \brief The latest load of each engine, numbered so that readers ask for what is new.
+/// \brief What a reader of a \ref load_board gets.
+struct load_changes
+{
+    std::vector<engine_requests> loads; ///< Sums over the fleet.
+    std::uint64_t up_to = 0;            ///< Number to ask with next time.
+    bool complete = false;              ///< Engines that are not listed have no open requests.
+};
+
+/// \brief Limits of a \ref load_board.
+struct load_board_config
+{
+    /// A source that said nothing for this long is not counted: a few missed reports.
+    millis source_lifetime{1000};
+    /// Readers are told a sum again when it differs by this many requests and by \ref least_ratio:
+    /// smaller changes do not move a choice, and each costs bytes at every router.
+    std::uint32_t least_change = 2;
+    double least_ratio = 0.2;
+    /// A smaller difference is told after this time.
+    millis settle{500};
+    /// An engine without open requests is forgotten after this; readers ask far more often.
+    millis idle_memory{10000};
+};
+
+/// \brief Sums the open requests of all routers for each engine.
 ///
-/// In a large fleet a router hears from one engine every ten seconds or so, too seldom to tell
-/// which are busy. Routers give what they heard to a relay and take what others heard.
+/// Engines report their load with their answers, and a busy engine answers late, so in a large
+/// fleet a router learns too late which engines are busy. Routers know exactly what they have open:
+/// each tells its relay, relays tell each other the sums of their followers, and every router reads
+/// the sums of all from its relay. Instants passed in must not decrease.
 class load_board
 {
 public:
-    void post(const load_sighting& seen);
+    explicit load_board(load_board_config config = {}) : config_(config) {}
 
-    /// \returns Loads posted after number \p since, one for each engine.
-    std::vector<load_sighting> since(std::uint64_t since) const;
+    /// \brief Replaces what a router that follows this relay has open.
+    /// \param router Hash of its id.
+    void report(std::uint64_t router, std::span<const engine_requests> open, time_point now);
 
-    /// \returns The number of the latest post.
-    std::uint64_t sequence() const { return sequence_; }
+    /// \brief Replaces what the followers of another relay have open.
+    void report_group(std::uint64_t relay, std::span<const engine_requests> open, time_point now);
 
-    /// \brief The engine is gone.
-    void forget(std::uint64_t engine) { entries_.erase(engine); }
+    /// \returns Sums over the routers that follow this relay, for the other relays.
+    std::vector<engine_requests> group(time_point now);
+
+    /// \returns Sums that readers were not told since number \p since; all for 0.
+    load_changes changes_since(std::uint64_t since, time_point now);
 
 private:
+    struct source
+    {
+        std::map<std::uint64_t, std::uint32_t> open; ///< By engine.
+        bool group = false;
+        time_point reported_at;
+    };
+
     struct entry
     {
-        std::uint32_t requests = 0;
-        std::uint64_t number = 0;
+        std::int64_t requests = 0; ///< Sum over all sources.
+        std::uint32_t told = 0;
+        std::uint64_t number = 0; ///< Of the latest change that readers are told.
+        time_point told_at{-1000000};
     };
 
+    void replace(std::uint64_t key, bool group, std::span<const engine_requests> open,
+                 time_point now);
+    void remove(const source& gone);
+    void refresh(time_point now);
+
+    load_board_config config_;
+    std::map<std::uint64_t, source> sources_;
+    std::map<std::uint64_t, entry> engines_;
     std::uint64_t sequence_ = 0;
-    std::map<std::uint64_t, entry> entries_;
 };
 
 } // namespace endivestage
--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -413,8 +413,6 @@
     if (meaning.load)
     {
         state_.endpoints.report_load(endpoint, *meaning.load, now);
-        state_.loads.push_back(
-            {hash64(endpoint.view()), static_cast<std::uint32_t>(*meaning.load)});
     }
     if (meaning.cold_left && *meaning.cold_left > millis{0})
     {
--- a/endivestage/serving/peer_service.cpp
+++ b/endivestage/serving/peer_service.cpp
@@ -7,6 +7,7 @@
 #include <boost/endian/conversion.hpp>
 #include <chrono>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 namespace endivestage::serving
@@ -52,6 +53,40 @@
     }
     return news;
 }
+
+/// First byte of a datagram with loads, then the hash of the sender, then the loads.
+constexpr char loads_tag = 'L';
+constexpr std::size_t loads_head_bytes = 9;
+constexpr std::size_t load_bytes = 10;
+/// A report replaces the former one, so it must fit into one datagram.
+constexpr std::size_t loads_per_datagram = 1000;
+
+unsigned char* bytes_at(std::string& text, std::size_t position)
+{
+    return reinterpret_cast<unsigned char*>(text.data()) + position;
+}
+
+const unsigned char* bytes_at(std::string_view text, std::size_t position)
+{
+    return reinterpret_cast<const unsigned char*>(text.data()) + position;
+}
+
+std::string encode_group_loads(std::uint64_t sender, std::span<const engine_requests> loads)
+{
+    std::string text(loads_head_bytes + loads.size() * load_bytes, loads_tag);
+    boost::endian::store_little_u64(bytes_at(text, 1), sender);
+    std::size_t position = loads_head_bytes;
+    for (const engine_requests& part : loads)
+    {
+        boost::endian::store_little_u64(bytes_at(text, position), part.engine);
+        const std::uint32_t most = std::numeric_limits<std::uint16_t>::max();
+        boost::endian::store_little_u16(bytes_at(text, position + 8),
+                                        static_cast<std::uint16_t>(std::min(part.requests, most)));
+        position += load_bytes;
+    }
+    return text;
+}
+
 /// A dead router may still run behind a cut: it keeps its part of shared limits for this long.
 constexpr millis dead_keeps_share{15000};
 
@@ -112,22 +147,33 @@
                                        return;
                                    }
                                    const std::string_view text(buf_.data(), ec ? 0 : n);
-                                   if (text.starts_with(sightings_tag))
+                                   if (!ec)
                                    {
-                                       take_sightings(text);
-                                   }
-                                   else if (!ec)
-                                   {
-                                       const result<packet> content = decode_packet(text);
-                                       if (content)
-                                       {
-                                           carry_out(detector_.receive(*content, time_.now()));
-                                       }
+                                       take_datagram(text);
                                    }
                                    receive();
                                });
 }
 
+void peer_service::take_datagram(std::string_view text)
+{
+    if (text.starts_with(sightings_tag))
+    {
+        take_sightings(text);
+        return;
+    }
+    if (text.starts_with(loads_tag))
+    {
+        take_loads(text);
+        return;
+    }
+    const result<packet> content = decode_packet(text);
+    if (content)
+    {
+        carry_out(detector_.receive(*content, time_.now()));
+    }
+}
+
 void peer_service::tick()
 {
     carry_out(detector_.tick(time_.now()));
@@ -215,6 +261,32 @@
     }
 }
 
+void peer_service::tell_loads(const router_id& relay, std::span<const engine_requests> loads)
+{
+    const std::optional<member_update> belief = detector_.find(relay);
+    if (belief)
+    {
+        send_text(belief->who.host, belief->who.udp_port,
+                  encode_group_loads(hash64(detector_.self().id.view()),
+                                     loads.first(std::min(loads.size(), loads_per_datagram))));
+    }
+}
+
+void peer_service::take_loads(std::string_view text)
+{
+    if (text.size() < loads_head_bytes || !loads_told_)
+    {
+        return;
+    }
+    std::vector<engine_requests> loads;
+    for (std::size_t n = loads_head_bytes; n + load_bytes <= text.size(); n += load_bytes)
+    {
+        loads.push_back({boost::endian::load_little_u64(bytes_at(text, n)),
+                         boost::endian::load_little_u16(bytes_at(text, n + 8))});
+    }
+    loads_told_(boost::endian::load_little_u64(bytes_at(text, 1)), loads);
+}
+
 void peer_service::update(std::span<const replicated_row> rows)
 {
     for (const replicated_row& row : rows)
--- a/endivestage/serving/peer_service.hpp
+++ b/endivestage/serving/peer_service.hpp
@@ -4,6 +4,7 @@
 
 #include <endivestage/core.hpp>
 #include <endivestage/membership.hpp>
+#include <endivestage/routing.hpp>
 #include <endivestage/serving/replication_service.hpp>
 
 #include <array>
@@ -57,6 +58,15 @@
         sighted_ = std::move(callback);
     }
 
+    /// \brief Sends another relay what the followers of this one have open at engines.
+    void tell_loads(const router_id& relay, std::span<const engine_requests> loads);
+
+    /// \brief Sets what is called for such loads; the first argument is the hash of the sender.
+    void on_loads(std::function<void(std::uint64_t, std::span<const engine_requests>)> callback)
+    {
+        loads_told_ = std::move(callback);
+    }
+
     void on_change(std::function<void()> callback) { changed_ = std::move(callback); }
 
 private:
@@ -69,7 +79,9 @@
 
     void receive();
     void tick();
+    void take_datagram(std::string_view text);
     void take_sightings(std::string_view text);
+    void take_loads(std::string_view text);
     void send_text(const std::string& host, std::uint16_t port, std::string_view text);
     void carry_out(const membership_actions& actions);
     void refresh_candidates();
@@ -81,11 +93,12 @@
     failure_detector detector_;
     boost::asio::ip::udp::socket socket_;
     boost::asio::ip::udp::endpoint sender_;
-    std::array<char, 4096> buf_{};
+    std::array<char, 16384> buf_{};
     boost::asio::steady_timer timer_;
     std::map<router_id, known_router> routers_;
     std::function<void()> changed_;
     std::function<void(const sighting&)> sighted_;
+    std::function<void(std::uint64_t, std::span<const engine_requests>)> loads_told_;
     std::uint64_t bytes_sent_ = 0;
 };
 
--- a/endivestage/serving/replication_service.cpp
+++ b/endivestage/serving/replication_service.cpp
@@ -48,6 +48,8 @@
 /// Records that lapsed during an outage are written again within this time.
 constexpr millis settling_time{2500};
 constexpr millis idle_poll{50};
+/// Relays tell each other the loads of their followers so often; about as often as routers ask.
+constexpr millis share_period{200};
 /// Smaller answers fit into one packet as they are.
 constexpr std::size_t least_compressed_bytes = 1200;
 constexpr const char* unpacked_size_field = "Unpacked-Size";
@@ -144,19 +146,19 @@
     return unpacked;
 }
 
-json::array encode_loads(std::span<const load_sighting> loads)
+json::array encode_loads(std::span<const engine_requests> loads)
 {
     json::array encoded;
-    for (const load_sighting& seen : loads)
+    for (const engine_requests& part : loads)
     {
-        encoded.emplace_back(json::array{seen.engine, seen.requests});
+        encoded.emplace_back(json::array{part.engine, part.requests});
     }
     return encoded;
 }
 
-std::vector<load_sighting> decode_loads(const json::array& encoded)
+std::vector<engine_requests> decode_loads(const json::array& encoded)
 {
-    std::vector<load_sighting> loads;
+    std::vector<engine_requests> loads;
     for (const json::value& pair : encoded)
     {
         if (!pair.is_array() || pair.get_array().size() != 2)
@@ -164,15 +166,15 @@
             continue;
         }
         boost::system::error_code ec;
-        load_sighting seen;
-        seen.engine = pair.get_array()[0].to_number<std::uint64_t>(ec);
+        engine_requests part;
+        part.engine = pair.get_array()[0].to_number<std::uint64_t>(ec);
         if (!ec)
         {
-            seen.requests = pair.get_array()[1].to_number<std::uint32_t>(ec);
+            part.requests = pair.get_array()[1].to_number<std::uint32_t>(ec);
         }
         if (!ec)
         {
-            loads.push_back(seen);
+            loads.push_back(part);
         }
     }
     return loads;
@@ -240,6 +242,7 @@
         asio::co_spawn(context_, follow_service(table), asio::detached);
     }
     asio::co_spawn(context_, follow_relays(), asio::detached);
+    asio::co_spawn(context_, share_loads(), asio::detached);
 }
 
 bool replication_service::complete() const
@@ -405,18 +408,51 @@
     }
 }
 
-awaitable<void> replication_service::follow_relays()
+std::vector<relay_candidate> replication_service::candidates() const
+{
+    std::vector<relay_candidate> found;
+    for (const relay_address& relay : callbacks_.live())
+    {
+        found.push_back(relay.who);
+    }
+    return found;
+}
+
+awaitable<void> replication_service::share_loads()
 {
     for (;;)
     {
-        const std::vector<relay_address> live = callbacks_.live();
-        std::vector<relay_candidate> candidates;
-        candidates.reserve(live.size());
-        for (const relay_address& relay : live)
+        co_await sleep(share_period);
+        if (!relaying_)
+        {
+            continue;
+        }
+        const time_point now = time_.now();
+        board_.report(hash64(self_.view()), callbacks_.open_requests(), now);
+        const std::vector<engine_requests> group = board_.group(now);
+        for (const router_id& relay : choice_.relays(candidates(), now))
         {
-            candidates.push_back(relay.who);
+            if (relay != self_)
+            {
+                callbacks_.tell_relay(relay, group);
+            }
         }
-        const change_source source = choice_.choose(candidates, age(), time_.now());
+        callbacks_.fleet_loads(board_.changes_since(0, now));
+    }
+}
+
+void replication_service::take_group_loads(std::uint64_t relay,
+                                           std::span<const engine_requests> loads)
+{
+    board_.report_group(relay, loads, time_.now());
+}
+
+awaitable<void> replication_service::follow_relays()
+{
+    for (;;)
+    {
+        const std::vector<relay_address> live = callbacks_.live();
+        const change_source source = choice_.choose(candidates(), age(), time_.now());
         if (!complete())
         {
             co_await sleep(idle_poll);
@@ -447,6 +483,7 @@
     {
         relay_ = std::make_shared<daemon::http_connection>(context_.get_executor());
         relay_id_ = relay.who.id;
+        loads_seen_ = 0; // Numbers of another relay's board mean nothing to this one.
         const std::error_code ec =
             co_await relay_->connect(relay.address, relay_timeout, relay_silence);
         if (ec)
@@ -466,7 +503,8 @@
     }
     request.target += "&loads=" + std::to_string(loads_seen_);
     request.method = "POST";
-    request.body = json::serialize(encode_loads(callbacks_.take_loads()));
+    request.target += "&router=" + self_.str();
+    request.body = json::serialize(encode_loads(callbacks_.open_requests()));
     request.fields.emplace_back("Host", daemon::to_string(relay.address));
     const time_point asked = time_.now();
     relay_->send(std::move(request));
@@ -518,8 +556,11 @@
             }
         }
     }
-    callbacks_.loads(decode_loads(daemon::get_array(*answer, "loads")));
+    load_changes changes;
+    changes.loads = decode_loads(daemon::get_array(*answer, "loads"));
+    changes.complete = daemon::get_flag(*answer, "loads_complete");
     loads_seen_ = daemon::get_unsigned(*answer, "loads_up_to");
+    callbacks_.fleet_loads(changes);
     const std::int64_t age_ms = daemon::get_number(*answer, "age_ms", -1);
     if (age_ms < 0 || choice_.stale_relay(millis{age_ms}))
     {
@@ -531,21 +572,6 @@
     return {};
 }
 
-void replication_service::take_loads(const json::array& encoded)
-{
-    const std::vector<load_sighting> loads = decode_loads(encoded);
-    callbacks_.loads(loads);
-    for (const load_sighting& seen : loads)
-    {
-        board_.post(seen);
-    }
-    // A relay asks nobody, so what it heard itself goes to its board here.
-    for (const load_sighting& seen : callbacks_.take_loads())
-    {
-        board_.post(seen);
-    }
-}
-
 awaitable<http_response> replication_service::answer_peer(http_request request)
 {
     http_response answer;
@@ -559,7 +585,8 @@
     const json::value posted = json::parse(request.body, unreadable);
     if (!unreadable && posted.is_array())
     {
-        take_loads(posted.get_array());
+        board_.report(hash64(target.parameter("router")), decode_loads(posted.get_array()),
+                      time_.now());
     }
     const millis wait{static_cast<std::int64_t>(
         std::min<std::uint64_t>(parse_revision(target.parameter("wait_ms")), 1000))};
@@ -585,8 +612,11 @@
             json::object body;
             body["age_ms"] = age().value_or(millis{-1}).count;
             body["tables"] = std::move(tables);
-            body["loads"] = encode_loads(board_.since(parse_revision(target.parameter("loads"))));
-            body["loads_up_to"] = board_.sequence();
+            const load_changes loads =
+                board_.changes_since(parse_revision(target.parameter("loads")), now);
+            body["loads"] = encode_loads(loads.loads);
+            body["loads_up_to"] = loads.up_to;
+            body["loads_complete"] = loads.complete;
             answer.body = json::serialize(body);
             compress(answer);
             co_return answer;
--- a/endivestage/serving/replication_service.hpp
+++ b/endivestage/serving/replication_service.hpp
@@ -36,10 +36,12 @@
     std::function<void(time_point)> current_at;
     /// A copy was brought up to date, with or without changes.
     std::function<void()> updated;
-    /// Loads that this router heard from engines since the last call.
-    std::function<std::vector<load_sighting>()> take_loads;
-    /// Loads that other routers heard.
-    std::function<void(std::span<const load_sighting>)> loads;
+    /// What this router has open at engines.
+    std::function<std::vector<engine_requests>()> open_requests;
+    /// Sums of what all routers have open at engines.
+    std::function<void(const load_changes&)> fleet_loads;
+    /// Sends the sums of this relay's followers to another relay.
+    std::function<void(const router_id&, std::span<const engine_requests>)> tell_relay;
     /// The routers that are believed alive.
     std::function<std::vector<relay_address>()> live;
 };
@@ -62,6 +64,10 @@
     /// \brief Answers a peer: changes after the revisions it names, as soon as there are any.
     daemon::awaitable<daemon::http_response> answer_peer(daemon::http_request request);
 
+    /// \brief Takes the sums of the followers of another relay.
+    /// \param relay Hash of its id.
+    void take_group_loads(std::uint64_t relay, std::span<const engine_requests> loads);
+
     /// \returns Age of the copy of the operator's table.
     std::optional<millis> age() const;
 
@@ -77,7 +83,8 @@
     void note_source(const change_source& source);
     daemon::awaitable<void> follow_relays();
     daemon::awaitable<void> ask_relay(relay_address relay);
-    void take_loads(const boost::json::array& encoded);
+    daemon::awaitable<void> share_loads();
+    std::vector<relay_candidate> candidates() const;
     std::error_code take_peer_answer(std::string_view body, time_point asked);
     void apply(shared_table table, const change_batch& batch, bool settling);
     void note_service(shared_table table, std::error_code ec);
--- a/endivestage/serving/router_state.hpp
+++ b/endivestage/serving/router_state.hpp
@@ -71,8 +71,7 @@
     router_metrics metrics;
     endpoint_pool pool;
     prefix_directory prefixes;
-    std::vector<load_sighting> loads; ///< Heard from engines; not yet told to a relay.
-    std::vector<sighting> news;       ///< Of prefixes; not yet told to other routers.
+    std::vector<sighting> news; ///< Of prefixes; not yet told to other routers.
     choice_config choice;
     serving_state serving = serving_state::starting;
     std::size_t open_requests = 0;
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -29,7 +29,6 @@
 constexpr millis house_period{250};
 /// News of prefixes are gathered for this long, so that several share a datagram.
 constexpr millis spread_period{100};
-constexpr std::size_t most_untold_loads = 1000;
 constexpr millis stop_tick{50};
 constexpr millis join_retry{300};
 /// Address answers of other routers leave a stopping router out after this.
@@ -199,20 +198,17 @@
     {
         check_serving();
     };
-    callbacks.take_loads = [this]
+    callbacks.open_requests = [this]
     {
-        return std::exchange(state_.loads, {});
+        return state_.endpoints.open_requests();
     };
-    callbacks.loads = [this](std::span<const load_sighting> loads)
+    callbacks.fleet_loads = [this](const load_changes& changes)
     {
-        for (const load_sighting& seen : loads)
-        {
-            const endpoint_state* engine = state_.endpoints.find_by_hash(seen.engine);
-            if (engine != nullptr)
-            {
-                state_.endpoints.report_load(engine->record.id, seen.requests, time_.now());
-            }
-        }
+        state_.endpoints.take_fleet_loads(changes, time_.now());
+    };
+    callbacks.tell_relay = [this](const router_id& relay, std::span<const engine_requests> loads)
+    {
+        peers_->tell_loads(relay, loads);
     };
     callbacks.live = [this]
     {
@@ -233,6 +229,8 @@
                 state_.news.push_back(seen);
             }
         });
+    peers_->on_loads([this](std::uint64_t relay, std::span<const engine_requests> loads)
+                     { replication_->take_group_loads(relay, loads); });
     asio::co_spawn(context_, spread_sightings(), asio::detached);
     co_await announce_self();
 }
@@ -441,11 +439,6 @@
         co_await sleep(house_period);
         state_.pool.expire();
         daemon::flush_log();
-        if (state_.loads.size() > most_untold_loads)
-        {
-            // No relay asked for them, so nobody needs them.
-            state_.loads.clear();
-        }
         for (const endpoint_id& gone : state_.endpoints.expire(time_.now()))
         {
             log_event(log_level::info, "endpoint_forgotten", {{"endpoint", gone}});
