Add a soak of router processes under faults from outside

Change: endivestage-soak starts routers as processes, with store, engines and callers around them and a proxy on each link to store and engines. Planned work, then faults in overlapping series, drawn from a seed. promise_log checks what callers and engines see while it runs; soak_promises_test shows each check report its broken promise. Before: no such run. Clock steps and cuts between routers are not covered.

--- /dev/null
+++ b/soak/world.cpp
@@ -0,0 +1,316 @@
+#include <soak/world.hpp>
+
+#include <endivestage/daemon/logging.hpp>
+
+#include <algorithm>
+#include <array>
+#include <boost/json.hpp>
+#include <chrono>
+#include <cstdlib>
+#include <fstream>
+#include <utility>
+
+namespace endivestage::soak
+{
+
+namespace json = boost::json;
+using daemon::http_request;
+using standin::engine_reply;
+
+namespace
+{
+
+constexpr std::uint16_t callers_port = 8227;
+constexpr std::uint16_t readiness_port = 8220;
+constexpr std::uint16_t directory_port = 8224;
+constexpr std::uint16_t metrics_port = 9464;
+constexpr std::uint16_t peer_port = 7340;
+constexpr std::array<const char*, 3> zones{"zone-a", "zone-b", "zone-c"};
+constexpr millis cold_time{3000};
+constexpr int longest_stream = 12;
+
+json::object make_route(const char* name, const char* prefix, const char* type, bool resumable)
+{
+    const bool once = std::string_view(type) == "non_idempotent";
+    return {{"name", name},
+            {"host", "soak.example"},
+            {"path_prefix", prefix},
+            {"route_type", type},
+            {"timeout_ms", 4000},
+            {"slo_ms", 500},
+            {"priority", 1},
+            {"service", "pool"},
+            {"max_attempts", once ? 1 : 3},
+            {"anonymous", false},
+            {"sticky", std::string_view(type) == "streaming"},
+            {"resumable", resumable}};
+}
+
+/// \returns A part of the caller's choice, the same for engine and caller.
+std::uint64_t draw(const std::string& request, std::uint64_t below)
+{
+    return hash64(request) % below;
+}
+
+bool is_stream(const http_request& request)
+{
+    return request.target.starts_with("/s/") || request.target.starts_with("/r/");
+}
+
+} // namespace
+
+world::world(boost::asio::io_context& context, world_settings settings)
+    : store(context),
+      random(hash64("soak", settings.seed)),
+      context_(context),
+      settings_(std::move(settings))
+{
+}
+
+bool world::start()
+{
+    if (store.start())
+    {
+        return false;
+    }
+    write_configuration();
+    for (std::size_t n = 0; n < settings_.engines; ++n)
+    {
+        if (!add_engine(false))
+        {
+            return false;
+        }
+    }
+    for (std::size_t n = 0; n < settings_.routers; ++n)
+    {
+        if (!add_router(n))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+void world::write_configuration()
+{
+    json::array routes;
+    routes.push_back(make_route("order", "/o/", "non_idempotent", false));
+    routes.push_back(make_route("lookup", "/i/", "idempotent", false));
+    routes.push_back(make_route("stream", "/s/", "streaming", false));
+    routes.push_back(make_route("resume", "/r/", "streaming", true));
+    json::array current;
+    for (const std::string& key : keys)
+    {
+        current.emplace_back(key);
+    }
+    const json::object configuration{
+        {"version", version_},
+        {"routes", std::move(routes)},
+        {"services", json::array{json::object{{"name", "pool"},
+                                              {"health_path", "/healthz"},
+                                              {"max_conns", 100},
+                                              {"cold_start_s", 3.0},
+                                              {"cold_per_s", 8.0}}}},
+        {"limits", json::object{{"max_header_bytes", 16384},
+                                {"max_body_bytes", 1048576},
+                                {"header_timeout_ms", 3000},
+                                {"idle_timeout_ms", 10000}}},
+        {"tenants",
+         json::array{json::object{{"name", "buyers"}, {"api_keys", std::move(current)}}}}};
+    version_ += 1 + random.below(3);
+    store.put("op", "config", json::serialize(configuration));
+}
+
+bool world::add_engine(bool cold)
+{
+    engines.push_back(std::make_unique<soak_engine>());
+    soak_engine& engine = *engines.back();
+    const std::size_t number = ++engines_made_;
+    engine.id = "engine-" + std::to_string(number);
+    engine.zone = zones[number % zones.size()];
+    engine.born = 1000 + static_cast<std::int64_t>(number);
+    engine.server = std::make_unique<standin::platform_engine>(
+        context_, [this, &engine](const http_request& request) { return answer(engine, request); });
+    if (engine.server->start())
+    {
+        return false;
+    }
+    engine.link = std::make_unique<standin::fault_proxy>(
+        context_, daemon::network_address{"127.0.0.1", engine.server->port()});
+    if (engine.link->start({"127.0.0.1", 0}))
+    {
+        return false;
+    }
+    engine.cold_until = cold ? now() + cold_time : now();
+    describe(engine);
+    return true;
+}
+
+void world::describe(const soak_engine& engine)
+{
+    const json::object record{
+        {"service", "pool"},
+        {"address", "127.0.0.1:" + std::to_string(engine.link->port())},
+        {"zone", engine.zone},
+        {"version", "v1"},
+        {"slots", 32},
+        {"state", engine.leaving ? "draining" : "ready"},
+        {"cold_left_ms", std::max<std::int64_t>(0, (engine.cold_until - now()).count)},
+        {"born", engine.born},
+        {"sequence", now().since_epoch}};
+    store.put("servers", engine.id, json::serialize(record));
+}
+
+void world::begin_leave(soak_engine& engine)
+{
+    engine.leaving = true;
+    describe(engine);
+    promises.engine_leaves(engine.id, now());
+}
+
+void world::remove(soak_engine& engine)
+{
+    store.erase("servers", engine.id);
+    promises.engine_leaves(engine.id, now());
+    engine.server->stop();
+    engine.link->set(standin::link_fault::refuse);
+}
+
+bool world::add_router(std::size_t number)
+{
+    routers.push_back(std::make_unique<soak_router>());
+    soak_router& router = *routers.back();
+    router.name = "router-" + std::to_string(number + 1);
+    // An address of its own for each router and run, as on hosts of their own.
+    router.host =
+        "127." + std::to_string(100 + settings_.seed % 100) + ".1." + std::to_string(number + 1);
+    router.store_link = std::make_unique<standin::fault_proxy>(
+        context_, daemon::network_address{"127.0.0.1", store.port()});
+    if (router.store_link->start({"127.0.0.1", 0}))
+    {
+        return false;
+    }
+    const auto at = [&](std::uint16_t port)
+    {
+        return router.host + ":" + std::to_string(port);
+    };
+    const json::object settings{
+        {"router", json::object{{"name", router.name},
+                                {"zone", zones[number % zones.size()]},
+                                {"region", "north"},
+                                {"host", router.host},
+                                {"peer_port", peer_port},
+                                {"cpu_share", 0.25}}},
+        {"listen", json::object{{"callers", at(callers_port)},
+                                {"readiness", at(readiness_port)},
+                                {"directory", at(directory_port)},
+                                {"metrics", at(metrics_port)}}},
+        {"platform",
+         json::object{{"table_service", "127.0.0.1:" + std::to_string(router.store_link->port())}}},
+        {"bounds", json::object{{"revocation_ms", 5000},
+                                {"repeat_ratio", 0.5},
+                                {"repeat_window_s", 10},
+                                {"repeat_allowance", 200},
+                                {"cold_overshoot", 1.5},
+                                {"cold_slack", 5},
+                                {"stop_grace_s", 8},
+                                {"address_lifetime_s", 2}}}};
+    const std::string file = settings_.folder + "/" + router.name + ".json";
+    std::ofstream(file) << json::serialize(settings);
+    router.process = std::make_unique<router_process>(
+        settings_.program, file, settings_.folder + "/" + router.name + ".log");
+    return router.process->start();
+}
+
+daemon::network_address world::callers_of(const soak_router& router)
+{
+    return {router.host, callers_port};
+}
+
+daemon::network_address world::directory_of(const soak_router& router)
+{
+    return {router.host, directory_port};
+}
+
+std::string world::expected_body(const std::string& request)
+{
+    return "answer to " + request + " " + std::string(draw(request, 4000), '.');
+}
+
+int world::event_count(const std::string& request)
+{
+    return 3 + static_cast<int>(draw(request, longest_stream - 3));
+}
+
+std::string world::expected_event(const std::string& request, int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: " + request + "/" + std::to_string(number) +
+           (number == event_count(request) ? " last" : "") + "\n\n";
+}
+
+engine_reply world::answer(soak_engine& engine, const http_request& request)
+{
+    engine_reply reply;
+    const std::string id(daemon::find_field(request.fields, "X-Attempt-Id"));
+    const std::string_view wanted = daemon::find_field(request.fields, "X-Expect-Instance");
+    if (!wanted.empty() && wanted != engine.id)
+    {
+        reply.pieces.push_back(standin::make_answer(request, 421, "", "X-Not-Executed: 1\r\n"));
+        return reply;
+    }
+    if (engine.mood == engine_mood::full)
+    {
+        reply.pieces.push_back(standin::make_answer(request, 503, "", "X-Not-Executed: 1\r\n"));
+        return reply;
+    }
+    promises.ran(id, engine.id, engine.zone, now());
+    if (engine.mood == engine_mood::lost)
+    {
+        reply.after = engine_reply::ending::reset;
+        return reply;
+    }
+    if (engine.mood == engine_mood::silent)
+    {
+        reply.after = engine_reply::ending::hang;
+        return reply;
+    }
+    if (engine.mood == engine_mood::failing)
+    {
+        reply.pieces.push_back(standin::make_answer(request, 500, "failed"));
+        return reply;
+    }
+    if (engine.mood == engine_mood::crossed)
+    {
+        http_request other;
+        other.fields = {{"X-Attempt-Id", "of-somebody-else"}};
+        reply.pieces.push_back(standin::make_answer(other, 200, "not yours"));
+    }
+    const bool torn = engine.mood == engine_mood::torn;
+    reply.after = torn ? engine_reply::ending::reset : engine_reply::ending::keep;
+    if (!is_stream(request))
+    {
+        const std::string whole = standin::make_answer(request, 200, expected_body(id));
+        reply.pieces.push_back(torn ? whole.substr(0, whole.size() - 3) : whole);
+        return reply;
+    }
+    reply.gap = millis{20};
+    reply.pieces.push_back(standin::make_stream_head(request));
+    const std::string last(daemon::find_field(request.fields, "Last-Event-Id"));
+    const int count = event_count(id);
+    for (int n = std::atoi(last.c_str()) + 1; n <= count; ++n)
+    {
+        std::string chunk = standin::make_chunk(expected_event(id, n));
+        if (torn && n == count)
+        {
+            // Ends in the middle of an event.
+            chunk.resize(chunk.size() / 2);
+            reply.pieces.push_back(std::move(chunk));
+            return reply;
+        }
+        reply.pieces.push_back(std::move(chunk));
+    }
+    reply.pieces.emplace_back(standin::last_chunk);
+    return reply;
+}
+
+} // namespace endivestage::soak
--- a/standin/platform_engine.cpp
+++ b/standin/platform_engine.cpp
@@ -159,10 +159,14 @@
 
 std::string make_event_chunk(int id)
 {
-    const std::string event = "id: " + std::to_string(id) + "\ndata: token\n\n";
+    return make_chunk("id: " + std::to_string(id) + "\ndata: token\n\n");
+}
+
+std::string make_chunk(const std::string& part)
+{
     char size[16];
-    std::snprintf(size, sizeof size, "%zx\r\n", event.size());
-    return size + event + "\r\n";
+    std::snprintf(size, sizeof size, "%zx\r\n", part.size());
+    return size + part + "\r\n";
 }
 
 } // namespace endivestage::standin
--- a/standin/platform_engine.hpp
+++ b/standin/platform_engine.hpp
@@ -75,6 +75,9 @@
 /// \returns One event as a chunk.
 std::string make_event_chunk(int id);
 
+/// \returns A part of a body as a chunk.
+std::string make_chunk(const std::string& part);
+
 /// \brief Ends a body in chunks.
 inline constexpr const char* last_chunk = "0\r\n\r\n";
 
