Let the number of relays grow with the fleet, and compare sums of loads ten times a second

Change: from 97 routers on each zone has a relay for each 32 routers, so that a relay's followers are near it and few. The board of loads compares sums with what it told every 0.1 s instead of at each poll, and finds news by number.

--- a/endivestage/replication/source_choice.cpp
+++ b/endivestage/replication/source_choice.cpp
@@ -5,6 +5,30 @@
 namespace endivestage
 {
 
+namespace
+{
+
+/// \returns The best \p wanted of some candidates by the hash that all routers share.
+std::vector<router_id> rank_relays(std::vector<relay_candidate> candidates, std::size_t wanted)
+{
+    std::sort(candidates.begin(), candidates.end(),
+              [](const relay_candidate& a, const relay_candidate& b) { return a.id < b.id; });
+    std::vector<weighted_node> nodes;
+    nodes.reserve(candidates.size());
+    for (const relay_candidate& candidate : candidates)
+    {
+        nodes.push_back({hash64(candidate.id.view()), candidate.weight});
+    }
+    std::vector<router_id> ranked;
+    for (const std::size_t n : rank_by_rendezvous(hash64("relay"), nodes, wanted))
+    {
+        ranked.push_back(candidates[n].id);
+    }
+    return ranked;
+}
+
+} // namespace
+
 std::vector<router_id> source_choice::relays(std::span<const relay_candidate> live,
                                              time_point now) const
 {
@@ -17,19 +41,23 @@
             trusted.push_back(candidate);
         }
     }
-    std::sort(trusted.begin(), trusted.end(),
-              [](const relay_candidate& a, const relay_candidate& b) { return a.id < b.id; });
-    std::vector<weighted_node> nodes;
-    nodes.reserve(trusted.size());
-    for (const relay_candidate& candidate : trusted)
+    const std::size_t wanted = config_.relays + (live.size() >= config_.large_fleet ? 1 : 0);
+    if (live.size() <= wanted * config_.followers)
     {
-        nodes.push_back({hash64(candidate.id.view()), candidate.weight});
+        return rank_relays(std::move(trusted), wanted);
+    }
+    std::map<zone_id, std::vector<relay_candidate>> zones;
+    for (relay_candidate& candidate : trusted)
+    {
+        std::vector<relay_candidate>& zone = zones[candidate.zone];
+        zone.push_back(std::move(candidate));
     }
-    const std::size_t wanted = config_.relays + (live.size() >= config_.large_fleet ? 1 : 0);
     std::vector<router_id> chosen;
-    for (const std::size_t n : rank_by_rendezvous(hash64("relay"), nodes, wanted))
+    for (std::pair<const zone_id, std::vector<relay_candidate>>& zone : zones)
     {
-        chosen.push_back(trusted[n].id);
+        const std::size_t part = (zone.second.size() + config_.followers - 1) / config_.followers;
+        const std::vector<router_id> ranked = rank_relays(std::move(zone.second), part);
+        chosen.insert(chosen.end(), ranked.begin(), ranked.end());
     }
     return chosen;
 }
--- a/endivestage/replication/source_choice.hpp
+++ b/endivestage/replication/source_choice.hpp
@@ -25,6 +25,10 @@
 {
     std::size_t relays = 2;       ///< Routers that follow the table service for all.
     std::size_t large_fleet = 30; ///< From this size on one relay more, for the load.
+    /// Fleets with more routers than this for each relay have relays for each zone, one for this
+    /// many routers: a relay's processor time and bytes grow with its followers, and a host has an
+    /// eighth of a core and 10 Mbit/s.
+    std::size_t followers = 32;
     /// Knowledge older than this is refreshed from the table service directly. Above the age that
     /// two polls in a row and one failed relay give, below the bounds within which changes must be
     /// in force.
--- a/endivestage/routing/load_board.cpp
+++ b/endivestage/routing/load_board.cpp
@@ -42,7 +42,7 @@
     replace(relay, true, open, now);
 }
 
-void load_board::refresh(time_point now)
+void load_board::expire_sources(time_point now)
 {
     for (auto it = sources_.begin(); it != sources_.end();)
     {
@@ -56,6 +56,25 @@
             ++it;
         }
     }
+}
+
+void load_board::tell(std::uint64_t engine, entry& known, time_point now)
+{
+    by_number_.erase(known.number);
+    known.told = static_cast<std::uint32_t>(known.requests);
+    known.told_at = now;
+    known.number = ++sequence_;
+    by_number_[known.number] = engine;
+}
+
+void load_board::refresh(time_point now)
+{
+    if (now - refreshed_at_ < config_.refresh_period)
+    {
+        return;
+    }
+    refreshed_at_ = now;
+    expire_sources(now);
     for (auto it = engines_.begin(); it != engines_.end();)
     {
         entry& engine = it->second;
@@ -66,19 +85,24 @@
                                config_.least_ratio * static_cast<double>(engine.told);
         if (large || (difference > 0 && now - engine.told_at >= config_.settle))
         {
-            engine.told = static_cast<std::uint32_t>(engine.requests);
-            engine.told_at = now;
-            engine.number = ++sequence_;
+            tell(it->first, engine, now);
         }
         const bool idle = engine.requests == 0 && engine.told == 0;
-        it =
-            idle && now - engine.told_at > config_.idle_memory ? engines_.erase(it) : std::next(it);
+        if (idle && now - engine.told_at > config_.idle_memory)
+        {
+            by_number_.erase(engine.number);
+            it = engines_.erase(it);
+        }
+        else
+        {
+            ++it;
+        }
     }
 }
 
 std::vector<engine_requests> load_board::group(time_point now)
 {
-    refresh(now);
+    expire_sources(now);
     std::map<std::uint64_t, std::uint32_t> sums;
     for (const std::pair<const std::uint64_t, source>& from : sources_)
     {
@@ -104,11 +128,12 @@
     load_changes changes;
     changes.complete = since == 0;
     changes.up_to = sequence_;
-    for (const std::pair<const std::uint64_t, entry>& engine : engines_)
+    for (auto it = by_number_.upper_bound(since); it != by_number_.end(); ++it)
     {
-        if (changes.complete ? engine.second.told > 0 : engine.second.number > since)
+        const entry& engine = engines_.at(it->second);
+        if (engine.told > 0 || !changes.complete)
         {
-            changes.loads.push_back({engine.first, engine.second.told});
+            changes.loads.push_back({it->second, engine.told});
         }
     }
     return changes;
--- a/endivestage/routing/load_board.hpp
+++ b/endivestage/routing/load_board.hpp
@@ -40,6 +40,8 @@
     double least_ratio = 0.2;
     /// A smaller difference is told after this time.
     millis settle{500};
+    /// Sums are compared with what was told this often, not with each report of each router.
+    millis refresh_period{100};
     /// An engine without open requests is forgotten after this; readers ask far more often.
     millis idle_memory{10000};
 };
@@ -88,11 +90,15 @@
                  time_point now);
     void remove(const source& gone);
     void refresh(time_point now);
+    void expire_sources(time_point now);
+    void tell(std::uint64_t engine, entry& known, time_point now);
 
     load_board_config config_;
     std::map<std::uint64_t, source> sources_;
     std::map<std::uint64_t, entry> engines_;
+    std::map<std::uint64_t, std::uint64_t> by_number_; ///< Engines in the order they were told.
     std::uint64_t sequence_ = 0;
+    time_point refreshed_at_{-1000000};
 };
 
 } // namespace endivestage
