--- a/endivestage/serving/peer_service.cpp
+++ b/endivestage/serving/peer_service.cpp
@@ -58,7 +58,8 @@
 constexpr char loads_tag = 'L';
 constexpr std::size_t loads_head_bytes = 9;
 constexpr std::size_t load_bytes = 10;
-/// A report replaces the former one, so it must fit into one datagram.
+/// A report replaces the former one, so it must fit into one datagram. The 32 followers of a relay
+/// have fewer engines in use at a time; what is above is not told.
 constexpr std::size_t loads_per_datagram = 1000;
 
 unsigned char* bytes_at(std::string& text, std::size_t position)
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -1,12 +1,8 @@
 #include <soak/world.hpp>
 
-#include <endivestage/daemon/logging.hpp>
-
 #include <algorithm>
 #include <array>
 #include <boost/json.hpp>
-#include <chrono>
-#include <cstdlib>
 #include <fstream>
 #include <utility>
 
@@ -251,16 +247,11 @@
 engine_reply world::answer(soak_engine& engine, const http_request& request)
 {
     engine_reply reply;
-    const std::string id(daemon::find_field(request.fields, "X-Attempt-Id"));
-    const std::string_view wanted = daemon::find_field(request.fields, "X-Expect-Instance");
-    if (!wanted.empty() && wanted != engine.id)
-    {
-        reply.pieces.push_back(standin::make_answer(request, 421, "", "X-Not-Executed: 1\r\n"));
-        return reply;
-    }
-    if (engine.mood == engine_mood::full)
+    const std::string id = standin::request_id(request);
+    const bool meant = standin::is_meant_for(request, engine.id);
+    if (!meant || engine.mood == engine_mood::full)
     {
-        reply.pieces.push_back(standin::make_answer(request, 503, "", "X-Not-Executed: 1\r\n"));
+        reply.pieces.push_back(standin::make_turned_away(request, meant ? 503 : 421));
         return reply;
     }
     promises.ran(id, engine.id, engine.zone, now());
@@ -295,9 +286,8 @@
     }
     reply.gap = millis{20};
     reply.pieces.push_back(standin::make_stream_head(request));
-    const std::string last(daemon::find_field(request.fields, "Last-Event-Id"));
     const int count = event_count(id);
-    for (int n = std::atoi(last.c_str()) + 1; n <= count; ++n)
+    for (int n = standin::last_event(request) + 1; n <= count; ++n)
     {
         std::string chunk = standin::make_chunk(expected_event(id, n));
         if (torn && n == count)
--- a/standin/platform_engine.cpp
+++ b/standin/platform_engine.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdio>
+#include <cstdlib>
 
 namespace endivestage::standin
 {
@@ -139,19 +140,38 @@
     socket.close(ec);
 }
 
+std::string request_id(const http_request& request)
+{
+    return std::string(daemon::find_field(request.fields, "X-Attempt-Id"));
+}
+
+bool is_meant_for(const http_request& request, const std::string& id)
+{
+    const std::string_view named = daemon::find_field(request.fields, "X-Expect-Instance");
+    return named.empty() || named == id;
+}
+
+int last_event(const http_request& request)
+{
+    return std::atoi(std::string(daemon::find_field(request.fields, "Last-Event-Id")).c_str());
+}
+
+std::string make_turned_away(const http_request& request, int status)
+{
+    return make_answer(request, status, "", "X-Not-Executed: 1\r\n");
+}
+
 std::string make_answer(const http_request& request, int status, const std::string& body,
                         const std::string& more_fields)
 {
-    return "HTTP/1.1 " + std::to_string(status) + " Scripted\r\nX-Attempt-Id: " +
-           std::string(daemon::find_field(request.fields, "X-Attempt-Id")) +
-           "\r\nX-Origin-Seal: seal\r\n" + more_fields +
-           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 " + std::to_string(status) +
+           " Scripted\r\nX-Attempt-Id: " + request_id(request) + "\r\nX-Origin-Seal: seal\r\n" +
+           more_fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 std::string make_stream_head(const http_request& request)
 {
-    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " +
-           std::string(daemon::find_field(request.fields, "X-Attempt-Id")) +
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + request_id(request) +
            "\r\nX-Origin-Seal: seal\r\nContent-Type: text/event-stream\r\n"
            "Transfer-Encoding: chunked\r\n\r\n";
 }
--- a/standin/platform_engine.hpp
+++ b/standin/platform_engine.hpp
@@ -69,6 +69,18 @@
 std::string make_answer(const daemon::http_request& request, int status, const std::string& body,
                         const std::string& more_fields = {});
 
+/// \returns The id that the caller gave a request.
+std::string request_id(const daemon::http_request& request);
+
+/// \returns Whether a request names no engine or the one with this id.
+bool is_meant_for(const daemon::http_request& request, const std::string& id);
+
+/// \returns The number of the last event that the caller has; 0 without one.
+int last_event(const daemon::http_request& request);
+
+/// \returns An answer that says that the request was not executed.
+std::string make_turned_away(const daemon::http_request& request, int status);
+
 /// \returns The head of a stream of events in chunks.
 std::string make_stream_head(const daemon::http_request& request);
 
