Say without a reference which ratio bounds the changes of sums

Change: the comment names the ratio in words. Before: documentation failed. After: tests/documentation.sh ends with 0.

--- a/endivestage/routing/load_board.hpp
+++ b/endivestage/routing/load_board.hpp
@@ -35,7 +35,7 @@
     /// A source that said nothing for this long is not counted: a few missed reports.
     millis source_lifetime{1000};
     /// Readers are told a sum again when it differs by at least this many requests and by
-    /// \ref least_ratio of what they know; smaller changes do not move a choice, and each costs
+    /// the ratio below of what they know; smaller changes do not move a choice, and each costs
     /// bytes at every router.
     std::uint32_t least_change = 2;
     double least_ratio = 0.2;
