Serve every request that arrives while a planned stop closes connections

Cause: operators of similar systems lost requests during planned stops. Three tests show that it could happen here: closing the acceptor reset connections that the kernel had accepted, with their requests; close_idle closed sockets whose next request had arrived and was not read yet; the process exited as soon as no request was being handled, while the first request of a new connection was on its way. Change: the acceptor takes over queued connections before it closes. close_idle cancels the pending read instead of closing the socket, so bytes that were read or have arrived are served; a new connection has 1 s for its first request. `serve` exits when no connection is open, or at the end of the grace period. An exception on one connection ends that connection, is logged, and no longer leaves its request or connection counted.

--- a/endivestage/daemon/http_server.cpp
+++ b/endivestage/daemon/http_server.cpp
@@ -1,4 +1,5 @@
 #include <endivestage/daemon/http_server.hpp>
+#include <endivestage/daemon/logging.hpp>
 #include <endivestage/daemon/process_clock.hpp>
 
 #include <boost/asio/as_tuple.hpp>
@@ -11,8 +12,9 @@
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <exception>
+#include <map>
 #include <mutex>
-#include <set>
+#include <optional>
 #include <utility>
 
 namespace endivestage::daemon
@@ -180,9 +182,21 @@
     {
     }
 
+    /// A connection that waits for a request.
+    struct idle_connection
+    {
+        connection_stream* stream = nullptr;
+        std::optional<time_point> accepted; ///< Set until its first request.
+    };
+
     void accept();
-    awaitable<bool> await_request(connection_stream& stream, beast::flat_buffer& buf);
+    void serve_accepted(tcp::socket socket);
+    void accept_queued();
+    void close_if_idle(std::uint64_t connection);
+    awaitable<bool> await_request(std::uint64_t connection, idle_connection waiting,
+                                  beast::flat_buffer& buf);
     static awaitable<void> serve(std::shared_ptr<state> self, connection_stream stream);
+    awaitable<void> serve_requests(connection_stream& stream);
     awaitable<bool> handle(connection_stream& stream, beast::flat_buffer& buf);
     awaitable<void> refuse(connection_stream& stream, int status, errc code) const;
     awaitable<void> refuse_malformed(connection_stream& stream,
@@ -197,8 +211,9 @@
     std::atomic<std::size_t> requests{0};
     std::atomic<bool> accepting{true};
     process_clock time;
+    std::atomic<std::uint64_t> last_connection{0};
     std::mutex idle_mutex; ///< Guards idle and limits.
-    std::set<connection_stream*> idle;
+    std::map<std::uint64_t, idle_connection> idle;
 };
 
 void http_server::state::accept()
@@ -207,23 +222,43 @@
     acceptor.async_accept(asio::make_strand(context),
                           [self](const boost::system::error_code& ec, tcp::socket socket)
                           {
-                              if (!self->acceptor.is_open())
+                              if (!ec)
                               {
-                                  return;
+                                  self->serve_accepted(std::move(socket));
                               }
-                              if (!ec)
+                              if (self->acceptor.is_open())
                               {
-                                  boost::system::error_code ignored;
-                                  socket.set_option(tcp::no_delay(true), ignored);
-                                  asio::any_io_executor executor = socket.get_executor();
-                                  asio::co_spawn(executor,
-                                                 serve(self, connection_stream(std::move(socket))),
-                                                 asio::detached);
+                                  self->accept();
                               }
-                              self->accept();
                           });
 }
 
+void http_server::state::serve_accepted(tcp::socket socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    asio::any_io_executor executor = socket.get_executor();
+    connections.fetch_add(1);
+    asio::co_spawn(executor, serve(shared_from_this(), connection_stream(std::move(socket))),
+                   asio::detached);
+}
+
+// Closing the acceptor resets connections that it has not returned yet, with their requests.
+void http_server::state::accept_queued()
+{
+    boost::system::error_code ec;
+    acceptor.non_blocking(true, ec);
+    while (!ec)
+    {
+        tcp::socket socket(asio::make_strand(context));
+        acceptor.accept(socket, ec);
+        if (!ec)
+        {
+            serve_accepted(std::move(socket));
+        }
+    }
+}
+
 awaitable<void> http_server::state::refuse(connection_stream& stream, int status, errc code) const
 {
     http::response<http::string_body> message;
@@ -262,34 +297,40 @@
 
 // Waits for the first byte, so that a connection without a request can be told from one that is in
 // the middle of a request.
-awaitable<bool> http_server::state::await_request(connection_stream& stream,
+awaitable<bool> http_server::state::await_request(std::uint64_t connection, idle_connection waiting,
                                                   beast::flat_buffer& buf)
 {
     if (buf.size() > 0)
     {
         co_return true;
     }
+    connection_stream& stream = *waiting.stream;
     {
         const std::lock_guard<std::mutex> lock(idle_mutex);
-        idle.insert(&stream);
+        idle[connection] = waiting;
         stream.expires_after(std::chrono::milliseconds(limits.idle.count));
     }
     constexpr std::size_t first_read_bytes = 4096;
     boost::system::error_code ec;
-    const std::size_t n = co_await stream.async_read_some(
-        buf.prepare(first_read_bytes), asio::redirect_error(asio::use_awaitable, ec));
+    std::size_t n = co_await stream.async_read_some(buf.prepare(first_read_bytes),
+                                                    asio::redirect_error(asio::use_awaitable, ec));
+    {
+        const std::lock_guard<std::mutex> lock(idle_mutex);
+        idle.erase(connection);
+    }
+    boost::system::error_code ignored;
+    if (ec == asio::error::operation_aborted && stream.socket().available(ignored) > 0)
+    {
+        // A request arrived before close_idle cancelled the read.
+        n = co_await stream.async_read_some(buf.prepare(first_read_bytes),
+                                            asio::redirect_error(asio::use_awaitable, ec));
+    }
     buf.commit(n);
-    const std::lock_guard<std::mutex> lock(idle_mutex);
-    idle.erase(&stream);
     co_return !ec;
 }
 
 awaitable<bool> http_server::state::handle(connection_stream& stream, beast::flat_buffer& buf)
 {
-    if (!co_await await_request(stream, buf))
-    {
-        co_return false;
-    }
     const time_point received = time.now();
     http::request_parser<http::string_body> parser;
     http_limits in_force;
@@ -337,8 +378,9 @@
     {
         co_await handler(std::move(request), *writer);
     }
-    catch (const std::exception&)
+    catch (const std::exception& failure)
     {
+        log_event(log_level::error, "request_failed", {{"reason", failure.what()}});
         failed = true;
     }
     requests.fetch_sub(1);
@@ -352,17 +394,14 @@
 
 awaitable<void> http_server::state::serve(std::shared_ptr<state> self, connection_stream stream)
 {
-    const std::size_t open = self->connections.fetch_add(1) + 1;
-    if (open > self->limits.connections)
+    try
     {
-        co_await self->refuse(stream, 503, errc::overloaded);
+        co_await self->serve_requests(stream);
     }
-    else
+    catch (const std::exception& failure)
     {
-        beast::flat_buffer buf(self->limits.header_bytes + self->limits.body_bytes);
-        while (co_await self->handle(stream, buf))
-        {
-        }
+        // An unexpected error ends this connection only.
+        log_event(log_level::error, "connection_failed", {{"reason", failure.what()}});
     }
     boost::system::error_code ec;
     stream.socket().shutdown(tcp::socket::shutdown_both, ec);
@@ -370,6 +409,28 @@
     self->connections.fetch_sub(1);
 }
 
+awaitable<void> http_server::state::serve_requests(connection_stream& stream)
+{
+    if (connections > limits.connections)
+    {
+        co_await refuse(stream, 503, errc::overloaded);
+        co_return;
+    }
+    const std::uint64_t connection = last_connection.fetch_add(1) + 1;
+    idle_connection waiting{&stream, time.now()};
+    beast::flat_buffer buf(limits.header_bytes + limits.body_bytes);
+    bool open = true;
+    while (open)
+    {
+        open = co_await await_request(connection, waiting, buf);
+        if (open)
+        {
+            open = co_await handle(stream, buf);
+        }
+        waiting.accepted.reset();
+    }
+}
+
 http_server::http_server(asio::io_context& context, http_limits limits, http_handler handler)
     : state_(std::make_shared<state>(context, limits, std::move(handler)))
 {
@@ -422,8 +483,12 @@
     asio::post(self->acceptor.get_executor(),
                [self]
                {
-                   boost::system::error_code ec;
-                   self->acceptor.close(ec);
+                   if (self->acceptor.is_open())
+                   {
+                       self->accept_queued();
+                       boost::system::error_code ec;
+                       self->acceptor.close(ec);
+                   }
                });
 }
 
@@ -442,19 +507,31 @@
 {
     std::shared_ptr<state> self = state_;
     const std::lock_guard<std::mutex> lock(self->idle_mutex);
-    for (connection_stream* stream : self->idle)
+    const time_point now = self->time.now();
+    for (const std::pair<const std::uint64_t, state::idle_connection>& entry : self->idle)
     {
-        // A request may begin before the strand gets to this: look again there.
-        asio::post(stream->get_executor(),
-                   [self, stream]
-                   {
-                       const std::lock_guard<std::mutex> again(self->idle_mutex);
-                       if (self->idle.contains(stream))
-                       {
-                           boost::system::error_code ec;
-                           stream->socket().close(ec);
-                       }
-                   });
+        const std::optional<time_point> accepted = entry.second.accepted;
+        if (accepted && now - *accepted < self->limits.first_request)
+        {
+            continue;
+        }
+        // A request may begin before the strand gets to this: it looks again there.
+        const std::uint64_t connection = entry.first;
+        asio::post(entry.second.stream->get_executor(),
+                   [self, connection] { self->close_if_idle(connection); });
+    }
+}
+
+// Cancels the read instead of closing the socket: a read that has its bytes already completes, and
+// its request is served.
+void http_server::state::close_if_idle(std::uint64_t connection)
+{
+    const std::lock_guard<std::mutex> lock(idle_mutex);
+    const auto it = idle.find(connection);
+    if (it != idle.end())
+    {
+        boost::system::error_code ec;
+        it->second.stream->socket().cancel(ec);
     }
 }
 
@@ -463,4 +540,9 @@
     return state_->requests;
 }
 
+std::size_t http_server::open_connections() const
+{
+    return state_->connections;
+}
+
 } // namespace endivestage::daemon
--- a/endivestage/daemon/http_server.hpp
+++ b/endivestage/daemon/http_server.hpp
@@ -56,6 +56,8 @@
     millis idle{75000};    ///< Time for the first byte of a request to arrive.
     millis request{75000}; ///< Time from its first byte for a complete request to arrive.
     millis write{30000};   ///< Time for a caller to take one chunk.
+    /// Time for the first request of a new connection to arrive while the server stops.
+    millis first_request{1000};
 };
 
 /// \brief Accepts connections and runs the handler on each request.
@@ -77,6 +79,7 @@
     std::uint16_t port() const;
 
     /// \brief Stops accepting; open connections finish their present request and are then closed.
+    /// Connections that the kernel has accepted already are served.
     void stop_accepting();
 
     /// \brief Replaces the limits for requests that arrive from now on.
@@ -85,12 +88,16 @@
     /// \brief Answers from now on ask callers to close their connections.
     void announce_close();
 
-    /// \brief Closes connections on which no request is being read or handled.
+    /// \brief Closes connections on which no request has arrived. A new connection is kept for
+    /// \ref http_limits::first_request, so call this repeatedly until none is open.
     void close_idle();
 
     /// \returns The number of requests being handled.
     std::size_t active_requests() const;
 
+    /// \returns The number of open connections, with or without a request.
+    std::size_t open_connections() const;
+
 private:
     struct state;
     std::shared_ptr<state> state_;
--- a/endivestage/serving/request_service.cpp
+++ b/endivestage/serving/request_service.cpp
@@ -8,6 +8,24 @@
 namespace endivestage::serving
 {
 
+namespace
+{
+
+/// Counts an open request for as long as it exists, also when its handler throws.
+class open_request_count
+{
+public:
+    explicit open_request_count(router_state& state) : state_(state) { ++state_.open_requests; }
+    ~open_request_count() { --state_.open_requests; }
+    open_request_count(const open_request_count&) = delete;
+    open_request_count& operator=(const open_request_count&) = delete;
+
+private:
+    router_state& state_;
+};
+
+} // namespace
+
 daemon::awaitable<void> request_service::serve(http_request request,
                                                daemon::response_writer& caller)
 {
@@ -21,11 +39,10 @@
         co_await caller.send(std::move(response));
         co_return;
     }
-    ++state_.open_requests;
+    const open_request_count counted(state_);
     std::shared_ptr<exchange> handler = std::make_shared<exchange>(
         executor_, state_, std::move(request), std::move(*decoded), caller);
     co_await handler->run();
-    --state_.open_requests;
 }
 
 } // namespace endivestage::serving
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -470,7 +470,8 @@
     while (time_.now() < deadline)
     {
         stop_progress progress;
-        progress.open_requests = state_.open_requests;
+        // A connection without a request yet counts too: its request may be on the way.
+        progress.open_requests = caller_server_.open_connections();
         progress.in_view = false;
         bool done = false;
         for (const stop_action action : planned_stop_.tick(progress, time_.now()))
--- /dev/null
+++ b/tests/daemon_http_server_test.cpp
@@ -0,0 +1,157 @@
+// The HTTP server on loopback: planned stops, and failures that must end one connection only.
+
+#include <endivestage/daemon/http_server.hpp>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <stdexcept>
+
+using namespace endivestage;
+using daemon::awaitable;
+using daemon::http_request;
+using daemon::http_response;
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace
+{
+
+const std::string request_text = "GET /x HTTP/1.1\r\nHost: t.example\r\n\r\n";
+
+/// A server with one answer for all requests, and a caller on a plain socket.
+struct server_fixture
+{
+    server_fixture()
+        : server(context, {},
+                 [this](http_request request, daemon::response_writer& writer) -> awaitable<void>
+                 {
+                     ++handled;
+                     if (request.target == "/throw")
+                     {
+                         throw std::length_error("unexpected");
+                     }
+                     http_response response;
+                     response.body = "ok";
+                     co_await writer.send(std::move(response));
+                 })
+    {
+        REQUIRE_FALSE(server.listen({"127.0.0.1", 0}));
+    }
+
+    tcp::socket connect()
+    {
+        tcp::socket caller(caller_context);
+        caller.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+        caller.non_blocking(true);
+        return caller;
+    }
+
+    static void send(tcp::socket& caller, const std::string& text = request_text)
+    {
+        asio::write(caller, asio::buffer(text));
+    }
+
+    /// Runs the server until the caller has received \p count bytes or its connection has ended.
+    std::string receive(tcp::socket& caller)
+    {
+        std::string received;
+        for (int n = 0; n < 400 && received.find("ok") == std::string::npos; ++n)
+        {
+            context.restart();
+            context.run_for(std::chrono::milliseconds(5));
+            char buf[1024];
+            boost::system::error_code ec;
+            received.append(buf, caller.read_some(asio::buffer(buf), ec));
+            if (ec && ec != asio::error::would_block)
+            {
+                break;
+            }
+        }
+        return received;
+    }
+
+    asio::io_context context;
+    asio::io_context caller_context;
+    int handled = 0;
+    daemon::http_server server;
+};
+
+} // namespace
+
+// Guards against a planned stop that resets a kept connection whose next request has arrived: the
+// caller cannot tell whether it ran.
+TEST_CASE("a request that arrives while idle connections are closed is answered")
+{
+    server_fixture fixture;
+    tcp::socket caller = fixture.connect();
+    server_fixture::send(caller);
+    REQUIRE(fixture.receive(caller).find("200 OK") != std::string::npos);
+    server_fixture::send(caller);
+    fixture.server.stop_accepting();
+    fixture.server.close_idle();
+    const std::string answer = fixture.receive(caller);
+    REQUIRE(answer.find("200 OK") != std::string::npos);
+    REQUIRE(answer.find("Connection: close") != std::string::npos);
+    REQUIRE(fixture.handled == 2);
+}
+
+// Guards against a planned stop that resets connections which the kernel has accepted already.
+TEST_CASE("connections that wait in the queue when the server stops accepting are served")
+{
+    server_fixture fixture;
+    std::vector<tcp::socket> callers;
+    for (int n = 0; n < 8; ++n)
+    {
+        callers.push_back(fixture.connect());
+        server_fixture::send(callers.back());
+    }
+    fixture.server.stop_accepting();
+    fixture.server.close_idle();
+    for (tcp::socket& caller : callers)
+    {
+        REQUIRE(fixture.receive(caller).find("200 OK") != std::string::npos);
+    }
+    REQUIRE(fixture.handled == 8);
+}
+
+// Guards against a planned stop that closes a new connection before its first request, which is
+// still on its way, and against one that waits for it without end.
+TEST_CASE("a new connection may still send its first request during a planned stop")
+{
+    server_fixture fixture;
+    tcp::socket caller = fixture.connect();
+    tcp::socket silent = fixture.connect();
+    fixture.context.run_for(std::chrono::milliseconds(5));
+    fixture.server.stop_accepting();
+    fixture.server.close_idle();
+    fixture.context.restart();
+    fixture.context.run_for(std::chrono::milliseconds(5));
+    server_fixture::send(caller);
+    REQUIRE(fixture.receive(caller).find("200 OK") != std::string::npos);
+    for (int n = 0; n < 400 && fixture.server.open_connections() > 0; ++n)
+    {
+        fixture.server.close_idle();
+        fixture.context.restart();
+        fixture.context.run_for(std::chrono::milliseconds(10));
+    }
+    REQUIRE(fixture.server.open_connections() == 0);
+}
+
+// Guards against one unexpected error that ends the process or leaves its connection counted.
+TEST_CASE("an exception in a handler ends its connection only")
+{
+    server_fixture fixture;
+    tcp::socket failing = fixture.connect();
+    tcp::socket caller = fixture.connect();
+    server_fixture::send(failing, "GET /throw HTTP/1.1\r\nHost: t.example\r\n\r\n");
+    REQUIRE(fixture.receive(failing).empty());
+    server_fixture::send(caller);
+    REQUIRE(fixture.receive(caller).find("200 OK") != std::string::npos);
+    REQUIRE(fixture.server.active_requests() == 0);
+    REQUIRE(fixture.server.open_connections() == 1);
+}
