Let starting routers take the tables from registered relays

Change: for its first two seconds a router ranks the routers that have registered and are not known to be dead. It asks relays for the tables; one that is starting itself (503) is asked again, and after 0.7 s the store is read. At the first start of a whole fleet (router.first_start) the routers wait 0.6 s, read the routers' table once more, and then choose.

--- a/endivestage/serving/peer_service.cpp
+++ b/endivestage/serving/peer_service.cpp
@@ -350,21 +350,33 @@
 }
 
 std::vector<relay_peer> peer_service::live_peers() const
+{
+    return find_peers(false);
+}
+
+std::vector<relay_peer> peer_service::registered_peers() const
+{
+    return find_peers(true);
+}
+
+std::vector<relay_peer> peer_service::find_peers(bool include_unheard) const
 {
     std::vector<relay_peer> found;
     for (auto it = routers_.begin(); it != routers_.end(); ++it)
     {
         const std::optional<member_update> view = detector_.find(it->first);
-        if (!view || view->state == member_state::dead || view->who.leaving ||
-            it->first == detector_.self().id)
+        const bool usable =
+            view ? view->state != member_state::dead && !view->who.leaving : include_unheard;
+        if (!usable || it->first == detector_.self().id)
         {
             continue;
         }
+        const member& info = view ? view->who : it->second.info;
         relay_peer relay;
         relay.candidate.id = it->first;
         relay.candidate.zone = it->second.info.zone;
         relay.candidate.weight = it->second.weight;
-        relay.address = {view->who.host, view->who.port};
+        relay.address = {info.host, info.port};
         found.push_back(std::move(relay));
     }
     return found;
--- a/endivestage/serving/peer_service.hpp
+++ b/endivestage/serving/peer_service.hpp
@@ -41,6 +41,10 @@
     /// leaving.
     std::vector<relay_peer> live_peers() const;
 
+    /// \returns Other routers with a row in the routers' table that are not known to be dead or
+    /// leaving.
+    std::vector<relay_peer> registered_peers() const;
+
     /// \returns Routers that may be running, this one included.
     std::vector<router_id> possible_routers() const;
 
@@ -84,6 +88,7 @@
         time_point dead_since{-1}; ///< Negative unless the failure detector considers it dead.
     };
 
+    std::vector<relay_peer> find_peers(bool include_unheard) const;
     void receive();
     void tick();
     void handle_datagram(std::string_view datagram);
--- a/endivestage/serving/replication_service.cpp
+++ b/endivestage/serving/replication_service.cpp
@@ -50,6 +50,13 @@
 /// Time for which a starting router asks relays for the tables. Reading them from the table service
 /// takes tens of milliseconds, so a relay that starts at the same time has them within this time.
 constexpr millis relay_start_period{700};
+/// The same at the first start of a fleet, when callers come only seconds later.
+constexpr millis first_start_period{4000};
+/// After this time a started router has heard from the routers that are alive. Until then it would
+/// take itself for the only one, and poll the table service.
+constexpr millis probe_period{2000};
+/// All routers of a fleet that starts for the first time have registered after this time.
+constexpr millis registration_period{600};
 /// Interval at which relays exchange the loads of their followers; similar to the interval at which
 /// followers poll.
 constexpr millis load_exchange_interval{200};
@@ -191,6 +198,16 @@
     return batch;
 }
 
+std::vector<relay_candidate> to_candidates(std::span<const relay_peer> peers)
+{
+    std::vector<relay_candidate> candidates;
+    for (const relay_peer& peer : peers)
+    {
+        candidates.push_back(peer.candidate);
+    }
+    return candidates;
+}
+
 } // namespace
 
 std::string_view to_string(shared_table table)
@@ -224,10 +241,12 @@
     }
 }
 
-void replication_service::start(const change_batch& routers)
+void replication_service::start(const change_batch& routers, bool first_start)
 {
     apply(shared_table::routers, routers, false);
-    starts_from_service_at_ = time_.now() + relay_start_period;
+    reads_routers_again_ = first_start;
+    probes_known_at_ = time_.now() + probe_period;
+    starts_from_service_at_ = time_.now() + (first_start ? first_start_period : relay_start_period);
     for (const shared_table table : shared_tables)
     {
         asio::co_spawn(context_, follow_service(table), asio::detached);
@@ -419,16 +438,6 @@
     }
 }
 
-std::vector<relay_candidate> replication_service::relay_candidates() const
-{
-    std::vector<relay_candidate> found;
-    for (const relay_peer& relay : callbacks_.live_routers())
-    {
-        found.push_back(relay.candidate);
-    }
-    return found;
-}
-
 awaitable<void> replication_service::exchange_loads()
 {
     for (;;)
@@ -441,7 +450,8 @@
         const time_point now = time_.now();
         load_aggregator_.apply_router_report(hash64(self_.view()), callbacks_.open_requests(), now);
         const std::vector<engine_requests> follower_loads = load_aggregator_.follower_loads(now);
-        for (const router_id& relay : source_choice_.choose_relays(relay_candidates(), now))
+        for (const router_id& relay :
+             source_choice_.choose_relays(to_candidates(callbacks_.live_routers()), now))
         {
             if (relay != self_)
             {
@@ -462,11 +472,13 @@
 {
     for (;;)
     {
-        std::vector<relay_peer> live = callbacks_.live_routers();
+        std::vector<relay_peer> live = is_complete() && time_.now() >= probes_known_at_
+                                           ? callbacks_.live_routers()
+                                           : callbacks_.registered_routers();
         // A starting router has no copy yet, and asks relays before it refreshes one.
         const std::optional<millis> copy_age = is_complete() ? age() : millis{0};
         const change_source source =
-            source_choice_.choose(relay_candidates(), copy_age, time_.now());
+            source_choice_.choose(to_candidates(live), copy_age, time_.now());
         if (!is_complete())
         {
             co_await start_from_relay(source, std::move(live));
@@ -494,6 +506,13 @@
 awaitable<void> replication_service::start_from_relay(const change_source& source,
                                                       std::vector<relay_peer> live)
 {
+    if (reads_routers_again_)
+    {
+        co_await daemon::sleep_for(registration_period);
+        co_await poll_service(shared_table::routers, millis{0});
+        reads_routers_again_ = false;
+        co_return;
+    }
     if (source.type != change_source::kind::relay)
     {
         starts_from_service_at_ = std::min(starts_from_service_at_, time_.now());
@@ -536,8 +555,12 @@
     }
     if (ec)
     {
-        source_choice_.record_failure(relay.candidate.id, time_.now());
-        log_event(log_level::info, "relay_failed", {{"router", relay.candidate.id}, ec});
+        // A relay that is starting itself has no tables yet and will have them shortly.
+        if (is_complete() || ec != errc::peer_unavailable)
+        {
+            source_choice_.record_failure(relay.candidate.id, time_.now());
+            log_event(log_level::info, "relay_failed", {{"router", relay.candidate.id}, ec});
+        }
         relay_connection_.reset();
     }
     co_return ec;
--- a/endivestage/serving/replication_service.hpp
+++ b/endivestage/serving/replication_service.hpp
@@ -46,6 +46,9 @@
     std::function<void(const router_id&, std::span<const engine_requests>)> send_to_relay;
     /// Returns the routers that are considered alive, this one included.
     std::function<std::vector<relay_peer>()> live_routers;
+    /// Returns the routers that have registered and are not known to be dead, this one included. A
+    /// starting router has not heard from any of them yet.
+    std::function<std::vector<relay_peer>()> registered_routers;
 };
 
 /// \brief Fetches changes of all shared tables from the table service or from a relay.
@@ -58,7 +61,10 @@
 
     /// \brief Starts the coroutines.
     /// \param routers Rows of the routers' table, which the caller has read already.
-    void start(const change_batch& routers);
+    /// \param first_start Whether the whole fleet starts for the first time. Its routers register
+    /// within the same second, so this one reads the routers' table again before it chooses a
+    /// source.
+    void start(const change_batch& routers, bool first_start);
 
     /// \returns Whether each table was read at least once.
     bool is_complete() const;
@@ -98,7 +104,6 @@
     daemon::awaitable<void> start_from_relay(const change_source& source,
                                              std::vector<relay_peer> live);
     daemon::awaitable<void> exchange_loads();
-    std::vector<relay_candidate> relay_candidates() const;
     std::error_code apply_peer_response(std::string_view body, time_point sent_at);
     void apply(shared_table table, const change_batch& batch, bool settling);
     void record_service_result(shared_table table, std::error_code ec);
@@ -130,6 +135,8 @@
     bool relaying_ = false;
     bool primary_ = false;
     router_id current_relay_; ///< Relay polled last; empty for the table service.
+    bool reads_routers_again_ = false;
+    time_point probes_known_at_; ///< From then on the failure detector tells which routers live.
     /// When this router reads tables that it has no copy of from the table service, if no relay
     /// delivered them before.
     time_point starts_from_service_at_;
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -207,16 +207,16 @@
     };
     callbacks.live_routers = [this]
     {
-        std::vector<relay_peer> live = peer_service_->live_peers();
-        relay_peer self_peer;
-        self_peer.candidate = {settings_.name, settings_.zone, settings_.cpu_share};
-        live.push_back(std::move(self_peer));
-        return live;
+        return with_self(peer_service_->live_peers());
+    };
+    callbacks.registered_routers = [this]
+    {
+        return with_self(peer_service_->registered_peers());
     };
     replication_ =
         std::make_unique<replication_service>(context_, time_, *platform_.tables, settings_.name,
                                               std::move(choice), std::move(callbacks));
-    replication_->start(listed_routers);
+    replication_->start(listed_routers, settings_.first_start);
     peer_service_->on_sighting(
         [this](const prefix_sighting& sighting)
         {
@@ -231,6 +231,14 @@
     co_await announce_self();
 }
 
+std::vector<relay_peer> server::with_self(std::vector<relay_peer> peers) const
+{
+    relay_peer self;
+    self.candidate = {settings_.name, settings_.zone, settings_.cpu_share};
+    peers.push_back(std::move(self));
+    return peers;
+}
+
 awaitable<void> server::gossip_sightings()
 {
     for (;;)
--- a/endivestage/serving/server.hpp
+++ b/endivestage/serving/server.hpp
@@ -93,6 +93,7 @@
 private:
     daemon::awaitable<void> join_fleet();
     daemon::awaitable<void> announce_self();
+    std::vector<relay_peer> with_self(std::vector<relay_peer> peers) const;
     daemon::awaitable<void> gossip_sightings();
     daemon::awaitable<void> run_maintenance();
     daemon::awaitable<void> shut_down();
--- a/endivestage/serving/settings.cpp
+++ b/endivestage/serving/settings.cpp
@@ -53,6 +53,16 @@
         return parsed;
     }
 
+    bool read_flag(std::string_view section, std::string_view key)
+    {
+        const json::value* value = find(section, key);
+        if (value != nullptr && !value->is_bool())
+        {
+            report(section, key, "not_a_flag");
+        }
+        return value != nullptr && value->is_bool() && value->get_bool();
+    }
+
     double read_number(std::string_view section, std::string_view key, double min_value,
                        double max_value)
     {
@@ -131,6 +141,7 @@
     settings.peer_port =
         static_cast<std::uint16_t>(reader.read_number("router", "peer_port", 1, 65535));
     settings.cpu_share = reader.read_number("router", "cpu_share", 0.001, 1024);
+    settings.first_start = reader.read_flag("router", "first_start");
     settings.callers = reader.read_address("listen", "callers");
     settings.readiness = reader.read_address("listen", "readiness");
     settings.directory = reader.read_address("listen", "directory");
--- a/endivestage/serving/settings.hpp
+++ b/endivestage/serving/settings.hpp
@@ -25,7 +25,8 @@
     daemon::network_address directory;
     daemon::network_address metrics;
     daemon::network_address table_service;
-    double cpu_share = 1.0; ///< Processor cores that the host grants; may be a fraction.
+    bool first_start = false; ///< The whole fleet starts for the first time.
+    double cpu_share = 1.0;   ///< Processor cores that the host grants; may be a fraction.
     server_bounds bounds;
 };
 
--- a/standin/platform_store.cpp
+++ b/standin/platform_store.cpp
@@ -189,6 +189,7 @@
         co_await respond_to_transaction(std::move(request.body), writer);
         co_return;
     }
+    ++lists_;
     response.body = list_rows(std::string(target.parameter("table")), 0, false);
     co_await writer.send(std::move(response));
 }
--- a/standin/platform_store.hpp
+++ b/standin/platform_store.hpp
@@ -44,6 +44,9 @@
     /// \returns Number of calls received so far.
     std::uint64_t calls() const { return calls_; }
 
+    /// \returns Number of calls so far that read all rows of a table.
+    std::uint64_t lists() const { return lists_; }
+
     /// \returns The decoded data of a row; empty if the row does not exist.
     std::string get(const std::string& table, const std::string& key) const;
 
@@ -71,6 +74,7 @@
     std::map<row_key, row> rows_;
     std::uint64_t revision_ = 1;
     std::uint64_t calls_ = 0;
+    std::uint64_t lists_ = 0;
 };
 
 } // namespace endivestage::standin
--- a/tests/daemon_serving_settings_test.cpp
+++ b/tests/daemon_serving_settings_test.cpp
@@ -10,7 +10,7 @@
 {
 
 const std::string good = R"({
- "router": {"name":"r1","zone":"z","region":"r","host":"10.0.0.1","peer_port":7340,"cpu_share":0.25},
+ "router": {"name":"r1","zone":"z","region":"r","host":"10.0.0.1","peer_port":7340,"cpu_share":0.25,"first_start":true},
  "listen": {"callers":"10.0.0.1:1","readiness":"10.0.0.1:2","directory":"10.0.0.1:3","metrics":"10.0.0.1:4"},
  "platform": {"table_service":"10.0.0.9:80"},
  "bounds": {"revocation_ms":5000,"config_ms":3000,"drain_ms":2500,"repeat_ratio":0.2,"repeat_window_s":10,"repeat_allowance":58,"cold_overshoot":1.5,
@@ -37,6 +37,7 @@
     const settings_outcome outcome = parse_server_settings(good);
     REQUIRE(outcome.faults.empty());
     REQUIRE(outcome.settings.name == router_id("r1"));
+    REQUIRE(outcome.settings.first_start);
     REQUIRE(outcome.settings.bounds.stop_grace == millis{8000});
     REQUIRE(outcome.settings.bounds.max_config_delay == millis{3000});
     REQUIRE(outcome.settings.bounds.max_drain_delay == millis{2500});
@@ -50,10 +51,12 @@
     std::string bad = replace(good, "\"10.0.0.1:1\"", "\"nowhere\"");
     bad = replace(bad, "\"zone\":\"z\",", "");
     bad = replace(bad, "\"cold_slack\":5", "\"cold_slack\":\"five\"");
+    bad = replace(bad, "\"first_start\":true", "\"first_start\":1");
     bad = replace(bad, "\"peer_port\":7340", "\"peer_port\":99999");
     const settings_outcome outcome = parse_server_settings(bad);
-    REQUIRE(outcome.faults.size() == 4);
+    REQUIRE(outcome.faults.size() == 5);
     REQUIRE(has_fault(outcome, "listen.callers", "not_an_address"));
+    REQUIRE(has_fault(outcome, "router.first_start", "not_a_flag"));
     REQUIRE(has_fault(outcome, "router.zone", "missing"));
     REQUIRE(has_fault(outcome, "bounds.cold_slack", "not_a_number"));
     REQUIRE(has_fault(outcome, "router.peer_port", "out_of_range"));
--- a/tests/platform_fleet.hpp
+++ b/tests/platform_fleet.hpp
@@ -78,6 +78,23 @@
                       R"(","cold_left_ms":0,"sequence":1})");
     }
 
+    /// Starts another router of the same fleet, with addresses of its own.
+    std::unique_ptr<serving::server> start_second_router(router_id name,
+                                                         serving::server_settings& other)
+    {
+        other = settings;
+        other.name = std::move(name);
+        other.peer_port = free_port(context);
+        other.callers.port = free_port(context);
+        other.readiness.port = free_port(context);
+        other.directory.port = free_port(context);
+        other.metrics.port = free_port(context);
+        std::unique_ptr<serving::server> second = std::make_unique<serving::server>(
+            context, other, platform::make_adapter(context, other));
+        REQUIRE_FALSE(second->start());
+        return second;
+    }
+
     void start_router()
     {
         settings.name = router_id("r1");
