--- a/endivestage/serving/replication_service.cpp
+++ b/endivestage/serving/replication_service.cpp
@@ -366,8 +366,8 @@
             std::max(sent, service_clock_.earliest_local(response->timestamp).value_or(sent)));
     }
     callbacks_.on_updated();
-    co_return table != shared_table::operations&& changed ? source_choice_.timing().change_pause
-                                                          : millis{0};
+    const bool pauses = changed && table != shared_table::operations;
+    co_return pauses ? source_choice_.timing().change_pause : millis{0};
 }
 
 millis replication_service::poll_wait(shared_table table) const
--- a/tests/daemon_endpoint_trouble_test.cpp
+++ b/tests/daemon_endpoint_trouble_test.cpp
@@ -17,12 +17,13 @@
 
 constexpr std::int64_t deadline_ms = 400;
 
+using piece_function = std::function<std::vector<std::string>(const http_request&)>;
+
 /// The last piece is repeated until the router closes the connection.
-standin::platform_engine::response_function
-respond_endlessly(std::function<std::vector<std::string>(const http_request&)> make_pieces,
-                  millis delay)
+standin::platform_engine::response_function respond_endlessly(piece_function make_pieces,
+                                                              millis delay)
 {
-    return [make_pieces, delay](const http_request& request)
+    return [make_pieces = std::move(make_pieces), delay](const http_request& request)
     {
         return engine_reply{make_pieces(request), delay, engine_reply::connection_action::repeat};
     };
@@ -30,9 +31,7 @@
 
 /// Runs one request at an engine whose answer never ends.
 /// \returns The status that the caller got, 0 for a cut answer.
-int run_endless(const std::string& target,
-                std::function<std::vector<std::string>(const http_request&)> make_pieces,
-                millis delay)
+int run_endless(const std::string& target, piece_function make_pieces, millis delay)
 {
     fleet f;
     standin::platform_engine& engine =
--- a/tests/daemon_http_server_test.cpp
+++ b/tests/daemon_http_server_test.cpp
@@ -1,20 +1,19 @@
 // The HTTP server on loopback: planned stops, and failures that must end one connection only.
 
 #include <endivestage/daemon/http_server.hpp>
+#include <standin/text_response.hpp>
 
-#include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
 
 using namespace endivestage;
-using daemon::awaitable;
 using daemon::http_request;
-using daemon::http_response;
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
@@ -28,16 +27,14 @@
 {
     server_fixture()
         : server(context, {},
-                 [this](http_request request, daemon::response_writer& writer) -> awaitable<void>
+                 [this](const http_request& request, daemon::response_writer& writer)
                  {
                      ++handled;
                      if (request.target == "/throw")
                      {
                          throw std::length_error("unexpected");
                      }
-                     http_response response;
-                     response.body = "ok";
-                     co_await writer.send(std::move(response));
+                     return standin::send_text(writer, "ok");
                  })
     {
         REQUIRE_FALSE(server.listen({"127.0.0.1", 0}));
--- a/tests/daemon_platform_path_test.cpp
+++ b/tests/daemon_platform_path_test.cpp
@@ -536,7 +536,7 @@
 {
     for (int n = 2;; ++n)
     {
-        const router_id name("r" + std::to_string(n));
+        router_id name("r" + std::to_string(n));
         const std::vector<relay_candidate> fleet{{primary, zone_id("zone-a"), 1.0},
                                                  {name, zone_id("zone-a"), 1.0}};
         const std::vector<router_id> relays{primary, name};
