Log why a caller's connection ends and how late the event loop runs

Cause: the report of a request that got neither an answer nor a refusal beside a change of the configuration cannot be told apart in the logs: closes by the idle timer, by a stop, by a caller that left and by a blocked event loop all leave no line. Change: connection_closed names the reason, the requests handled before and the bytes left unread; caller_disconnected says how the router noticed that a caller left; loop_delayed and endivestage_loop_delay_seconds show a blocked event loop.

--- a/endivestage/daemon/http_server.cpp
+++ b/endivestage/daemon/http_server.cpp
@@ -41,6 +41,53 @@
 
 using connection_stream = beast::tcp_stream;
 
+/// Why a connection ended.
+enum class close_reason
+{
+    complete,    ///< Its last response was sent and announced the close.
+    peer_closed, ///< The caller closed it between two requests.
+    idle,        ///< No request arrived within http_limits::idle.
+    stopping,    ///< It was idle when the server stopped.
+    incomplete,  ///< Its request did not arrive whole, or could not be read.
+    aborted,     ///< Its response was cut: the caller or the endpoint failed midway.
+    overloaded,  ///< The server had too many connections.
+    failed,      ///< An unexpected error, which has been logged.
+};
+
+std::string_view to_string(close_reason reason)
+{
+    switch (reason)
+    {
+    case close_reason::complete:
+        return "complete";
+    case close_reason::peer_closed:
+        return "peer_closed";
+    case close_reason::idle:
+        return "idle";
+    case close_reason::stopping:
+        return "stopping";
+    case close_reason::incomplete:
+        return "incomplete";
+    case close_reason::aborted:
+        return "aborted";
+    case close_reason::overloaded:
+        return "overloaded";
+    case close_reason::failed:
+        break;
+    }
+    return "failed";
+}
+
+close_reason to_close_reason(const boost::system::error_code& ec)
+{
+    if (ec == beast::error::timeout)
+    {
+        return close_reason::idle;
+    }
+    return ec == asio::error::operation_aborted ? close_reason::stopping
+                                                : close_reason::peer_closed;
+}
+
 class connection_writer final : public response_writer,
                                 public std::enable_shared_from_this<connection_writer>
 {
@@ -116,6 +163,7 @@
         watch();
     }
 
+    bool is_complete() const { return complete_; }
     bool may_reuse() const { return complete_ && keep_alive_; }
 
     void stop_watching() { caller_left_ = nullptr; }
@@ -147,11 +195,20 @@
                                         }
                                         if (ec || self->at_end())
                                         {
+                                            self->log_disconnect(ec);
                                             std::exchange(self->caller_left_, nullptr)();
                                         }
                                     });
     }
 
+    void log_disconnect(const boost::system::error_code& ec)
+    {
+        boost::system::error_code ignored;
+        log_event(log_level::info, "caller_disconnected",
+                  {{"peer", stream_.socket().remote_endpoint(ignored).port()},
+                   {"cause", ec ? ec.message() : std::string("end_of_stream")}});
+    }
+
     bool at_end()
     {
         char byte = 0;
@@ -193,11 +250,13 @@
     void serve_accepted(tcp::socket socket);
     void accept_queued();
     void close_if_idle(std::uint64_t connection);
-    awaitable<bool> await_request(std::uint64_t connection, idle_connection waiting,
-                                  beast::flat_buffer& buf);
+    awaitable<std::optional<close_reason>>
+    await_request(std::uint64_t connection, idle_connection waiting, beast::flat_buffer& buf);
     static awaitable<void> serve(std::shared_ptr<state> self, connection_stream stream);
-    awaitable<void> serve_requests(connection_stream& stream);
-    awaitable<bool> handle(connection_stream& stream, beast::flat_buffer& buf);
+    void log_close(connection_stream& stream, close_reason reason, std::uint64_t handled) const;
+    awaitable<close_reason> serve_requests(connection_stream& stream, std::uint64_t& handled);
+    awaitable<std::optional<close_reason>> handle(connection_stream& stream,
+                                                  beast::flat_buffer& buf);
     awaitable<void> refuse(connection_stream& stream, int status, errc code) const;
     awaitable<void> refuse_malformed(connection_stream& stream,
                                      const boost::system::error_code& ec) const;
@@ -296,13 +355,14 @@
 }
 
 // Waits for the first byte, so that a connection without a request can be told from one that is in
-// the middle of a request.
-awaitable<bool> http_server::state::await_request(std::uint64_t connection, idle_connection waiting,
-                                                  beast::flat_buffer& buf)
+// the middle of a request. Returns nothing when a request has begun.
+awaitable<std::optional<close_reason>> http_server::state::await_request(std::uint64_t connection,
+                                                                         idle_connection waiting,
+                                                                         beast::flat_buffer& buf)
 {
     if (buf.size() > 0)
     {
-        co_return true;
+        co_return std::nullopt;
     }
     connection_stream& stream = *waiting.stream;
     {
@@ -326,10 +386,16 @@
                                             asio::redirect_error(asio::use_awaitable, ec));
     }
     buf.commit(n);
-    co_return !ec;
+    if (ec)
+    {
+        co_return to_close_reason(ec);
+    }
+    co_return std::nullopt;
 }
 
-awaitable<bool> http_server::state::handle(connection_stream& stream, beast::flat_buffer& buf)
+// Returns nothing when the connection may carry another request.
+awaitable<std::optional<close_reason>> http_server::state::handle(connection_stream& stream,
+                                                                  beast::flat_buffer& buf)
 {
     const time_point received = time.now();
     http::request_parser<http::string_body> parser;
@@ -357,7 +423,7 @@
     if (ec)
     {
         co_await refuse_malformed(stream, ec);
-        co_return false;
+        co_return close_reason::incomplete;
     }
     stream.expires_never();
     http::request<http::string_body> message = parser.release();
@@ -388,44 +454,74 @@
     if (failed)
     {
         writer->abort();
+        co_return close_reason::failed;
+    }
+    if (writer->may_reuse())
+    {
+        co_return std::nullopt;
+    }
+    co_return writer->is_complete() ? close_reason::complete : close_reason::aborted;
+}
+
+// A close that the caller may take for a lost request is logged, with what was left unread.
+void http_server::state::log_close(connection_stream& stream, close_reason reason,
+                                   std::uint64_t handled) const
+{
+    if (reason == close_reason::complete || reason == close_reason::peer_closed)
+    {
+        return;
     }
-    co_return !failed && writer->may_reuse();
+    boost::system::error_code ignored;
+    log_event(log_level::info, "connection_closed",
+              {{"port", port},
+               {"reason", to_string(reason)},
+               {"handled", handled},
+               {"unread_bytes", stream.socket().available(ignored)},
+               {"peer", stream.socket().remote_endpoint(ignored).port()}});
 }
 
 awaitable<void> http_server::state::serve(std::shared_ptr<state> self, connection_stream stream)
 {
+    std::uint64_t handled = 0;
+    close_reason reason = close_reason::failed;
     try
     {
-        co_await self->serve_requests(stream);
+        reason = co_await self->serve_requests(stream, handled);
     }
     catch (const std::exception& failure)
     {
         // An unexpected error ends this connection only.
         log_event(log_level::error, "connection_failed", {{"reason", failure.what()}});
     }
+    self->log_close(stream, reason, handled);
     boost::system::error_code ec;
     stream.socket().shutdown(tcp::socket::shutdown_both, ec);
     stream.socket().close(ec);
     self->connections.fetch_sub(1);
 }
 
-awaitable<void> http_server::state::serve_requests(connection_stream& stream)
+awaitable<close_reason> http_server::state::serve_requests(connection_stream& stream,
+                                                           std::uint64_t& handled)
 {
     if (connections > limits.connections)
     {
         co_await refuse(stream, 503, errc::overloaded);
-        co_return;
+        co_return close_reason::overloaded;
     }
     const std::uint64_t connection = last_connection.fetch_add(1) + 1;
     idle_connection waiting{&stream, time.now()};
     beast::flat_buffer buf(limits.header_bytes + limits.body_bytes);
-    bool open = true;
-    while (open)
+    for (;;)
     {
-        open = co_await await_request(connection, waiting, buf);
-        if (open)
+        std::optional<close_reason> end = co_await await_request(connection, waiting, buf);
+        if (!end)
+        {
+            end = co_await handle(stream, buf);
+            ++handled;
+        }
+        if (end)
         {
-            open = co_await handle(stream, buf);
+            co_return *end;
         }
         waiting.accepted.reset();
     }
--- a/endivestage/serving/router_metrics.cpp
+++ b/endivestage/serving/router_metrics.cpp
@@ -50,6 +50,14 @@
         .add();
 }
 
+void router_metrics::record_loop_delay(millis delay)
+{
+    registry_
+        .get_distribution("endivestage_loop_delay_seconds",
+                          "How late the event loop handled a timer.")
+        .observe(to_seconds(delay));
+}
+
 void router_metrics::set_gauges(const router_gauges& values)
 {
     const auto set_gauge = [this](std::string_view name, std::string_view help, double value)
--- a/endivestage/serving/router_metrics.hpp
+++ b/endivestage/serving/router_metrics.hpp
@@ -39,6 +39,8 @@
     /// \param latency Time from the first byte of the request to the first event of its stream.
     void record_first_event(millis latency);
     void record_connection(bool success);
+    /// \param delay How late a timer of the event loop was handled.
+    void record_loop_delay(millis delay);
     void set_gauges(const router_gauges& values);
 
     /// \returns All metrics as text.
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -24,6 +24,8 @@
 /// Connections whose caller accepts no bytes for this long are closed.
 constexpr millis write_timeout{10000};
 constexpr millis maintenance_interval{250};
+/// Longer delays of the event loop are logged. All requests of this router wait meanwhile.
+constexpr millis logged_loop_delay{100};
 /// Sightings are collected for this long, so that several share a datagram.
 constexpr millis gossip_interval{100};
 constexpr millis stop_poll_interval{50};
@@ -438,11 +440,22 @@
     return make_address_answer(routers, query);
 }
 
+void server::record_loop_delay(millis delay)
+{
+    state_.metrics.record_loop_delay(delay);
+    if (delay > logged_loop_delay)
+    {
+        log_event(log_level::warning, "loop_delayed", {{"delay_ms", delay}});
+    }
+}
+
 awaitable<void> server::run_maintenance()
 {
     for (;;)
     {
+        const time_point due = time_.now() + maintenance_interval;
         co_await daemon::sleep_for(maintenance_interval);
+        record_loop_delay(time_.now() - due);
         state_.pool.expire();
         daemon::flush_log();
         for (const endpoint_id& expired : state_.endpoints.expire(time_.now()))
--- a/endivestage/serving/server.hpp
+++ b/endivestage/serving/server.hpp
@@ -96,6 +96,7 @@
     std::vector<relay_peer> with_self(std::vector<relay_peer> peers) const;
     daemon::awaitable<void> gossip_sightings();
     daemon::awaitable<void> run_maintenance();
+    void record_loop_delay(millis delay);
     daemon::awaitable<void> shut_down();
     void apply_changes(shared_table table, std::span<const replicated_row> rows, bool settling);
     void apply_operations(std::span<const replicated_row> rows);
