Refuse requests that would outlast a stopping router

Cause: a router exits 0.5 s before its grace time ends and cuts what still runs. After it has closed its port, a request still arrives on a connection whose answer was being sent, or on a new one that sends its first request. A stream begun then was cut at the exit: the caller had neither a whole answer nor a refusal, although other routers could have served it. Change: once the address answers with this router have expired, a request whose time (the earlier of the caller's deadline and the route's timeout) reaches beyond the exit is refused before anything is sent: 503, shutting_down, not_run, Retry-After 50 ms, connection closed. Requests that fit are served, and so are all before that step. The limit lies 0.1 s before the exit, so that an answer at the deadline is still sent. Before: daemon_planned_stop_test fails: the late stream is begun (200, one event) and sent to the engine. Conclusion: a request accepted earlier that is still open at the exit is cut as before.

--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -38,6 +38,8 @@
 /// Retry delay while this router starts. It reads its tables within tens of milliseconds; when all
 /// routers start at the same time, no other router is ready either.
 constexpr millis retry_after_starting{300};
+/// Retry delay while this router stops. Other routers can serve the request at once.
+constexpr millis retry_after_stopping{50};
 /// Retry delay when endpoints refuse requests; they must complete some of their work first.
 constexpr millis retry_after_overload{250};
 
@@ -124,6 +126,11 @@
     {
         deadline_ = request_.received + *decoded_.timeout;
     }
+    if (state_.completion_limit && deadline_ > *state_.completion_limit)
+    {
+        co_await send_error(503, errc::shutting_down, execution::not_run, retry_after_stopping);
+        co_return;
+    }
     service_ = choose_target(*route_, decoded_.chat_hash.value_or(hash64(decoded_.id.view())));
     profile_ = routes_->find_service(service_);
     std::weak_ptr<exchange> weak_self = weak_from_this();
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -34,6 +34,9 @@
 constexpr millis leave_propagation_time{500};
 /// The process exits this long before the platform would kill it.
 constexpr millis stop_margin{500};
+/// Requests that are accepted late in a planned stop end this long before the process exits, so
+/// that their last bytes are still sent.
+constexpr millis delivery_margin{100};
 constexpr std::size_t max_addresses = 64;
 
 http_limits to_http_limits(const caller_limits& limits)
@@ -502,6 +505,7 @@
         }
         if (refusing)
         {
+            state_.completion_limit = deadline - delivery_margin;
             caller_server_.stop_accepting();
             caller_server_.close_idle();
         }
