Follow a raised idle limit on connections that wait for a request

Cause: the idle timer of a caller's connection took the limit in force when the wait began. After a configuration with a higher idle_timeout_ms, callers reuse connections for up to four fifths of the new limit, while the router still closed them at the old one, so that a request could cross the close. Beast's timer also closes the socket when it fires, without a look at bytes that arrived before its handler ran. Change: the wait has a timer of its own. When it fires, the idle time is compared with the limit in force, and the wait goes on if that was raised. Otherwise the read is cancelled, as for a planned stop, and a request that has arrived is served. A lowered limit applies from the next wait, as before. Before: daemon_http_server_test fails in "follows a raised idle limit": closed at 200 ms although the limit is an hour; the other two new cases pass.

--- a/endivestage/daemon/http_server.cpp
+++ b/endivestage/daemon/http_server.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
@@ -78,16 +79,6 @@
     return "failed";
 }
 
-close_reason to_close_reason(const boost::system::error_code& ec)
-{
-    if (ec == beast::error::timeout)
-    {
-        return close_reason::idle;
-    }
-    return ec == asio::error::operation_aborted ? close_reason::stopping
-                                                : close_reason::peer_closed;
-}
-
 class connection_writer final : public response_writer,
                                 public std::enable_shared_from_this<connection_writer>
 {
@@ -243,13 +234,19 @@
     struct idle_connection
     {
         connection_stream* stream = nullptr;
+        asio::steady_timer* timer = nullptr;
         std::optional<time_point> accepted; ///< Set until its first request.
+        time_point since;                   ///< When the wait began.
+        /// Why the wait ends if the read is cancelled.
+        close_reason cancelled = close_reason::stopping;
     };
 
     void accept();
     void serve_accepted(tcp::socket socket);
     void accept_queued();
     void close_if_idle(std::uint64_t connection);
+    void start_idle_timer(std::uint64_t connection, const idle_connection& waiting);
+    void check_idle_time(std::uint64_t connection);
     awaitable<std::optional<close_reason>>
     await_request(std::uint64_t connection, idle_connection waiting, beast::flat_buffer& buf);
     static awaitable<void> serve(std::shared_ptr<state> self, connection_stream stream);
@@ -365,30 +362,37 @@
         co_return std::nullopt;
     }
     connection_stream& stream = *waiting.stream;
+    // Only the idle timer ends the wait: the stream's own would close the socket, with a request
+    // that has just arrived.
+    stream.expires_never();
+    waiting.since = time.now();
     {
         const std::lock_guard<std::mutex> lock(idle_mutex);
         idle[connection] = waiting;
-        stream.expires_after(std::chrono::milliseconds(limits.idle.count));
+        start_idle_timer(connection, waiting);
     }
     constexpr std::size_t first_read_bytes = 4096;
     boost::system::error_code ec;
     std::size_t n = co_await stream.async_read_some(buf.prepare(first_read_bytes),
                                                     asio::redirect_error(asio::use_awaitable, ec));
+    close_reason cancelled = close_reason::stopping;
     {
         const std::lock_guard<std::mutex> lock(idle_mutex);
+        cancelled = idle.at(connection).cancelled;
         idle.erase(connection);
+        waiting.timer->cancel();
     }
     boost::system::error_code ignored;
     if (ec == asio::error::operation_aborted && stream.socket().available(ignored) > 0)
     {
-        // A request arrived before close_idle cancelled the read.
+        // A request arrived before the read was cancelled.
         n = co_await stream.async_read_some(buf.prepare(first_read_bytes),
                                             asio::redirect_error(asio::use_awaitable, ec));
     }
     buf.commit(n);
     if (ec)
     {
-        co_return to_close_reason(ec);
+        co_return ec == asio::error::operation_aborted ? cancelled : close_reason::peer_closed;
     }
     co_return std::nullopt;
 }
@@ -509,7 +513,11 @@
         co_return close_reason::overloaded;
     }
     const std::uint64_t connection = last_connection.fetch_add(1) + 1;
-    idle_connection waiting{&stream, time.now()};
+    asio::steady_timer idle_timer(stream.get_executor());
+    idle_connection waiting;
+    waiting.stream = &stream;
+    waiting.timer = &idle_timer;
+    waiting.accepted = time.now();
     beast::flat_buffer buf(limits.header_bytes + limits.body_bytes);
     for (;;)
     {
@@ -631,6 +639,42 @@
     }
 }
 
+// Called with idle_mutex held, on the connection's strand.
+void http_server::state::start_idle_timer(std::uint64_t connection, const idle_connection& waiting)
+{
+    const millis left = waiting.since + limits.idle - time.now();
+    waiting.timer->expires_after(std::chrono::milliseconds(left.count));
+    waiting.timer->async_wait(
+        [self = shared_from_this(), connection](const boost::system::error_code& ec)
+        {
+            if (!ec)
+            {
+                self->check_idle_time(connection);
+            }
+        });
+}
+
+// The limit may have been raised since the timer was started. Callers follow the new limit, so the
+// connection is kept for the rest of it.
+void http_server::state::check_idle_time(std::uint64_t connection)
+{
+    const std::lock_guard<std::mutex> lock(idle_mutex);
+    const auto it = idle.find(connection);
+    if (it == idle.end())
+    {
+        return;
+    }
+    idle_connection& waiting = it->second;
+    if (time.now() < waiting.since + limits.idle)
+    {
+        start_idle_timer(connection, waiting);
+        return;
+    }
+    waiting.cancelled = close_reason::idle;
+    boost::system::error_code ec;
+    waiting.stream->socket().cancel(ec);
+}
+
 std::size_t http_server::active_requests() const
 {
     return state_->requests;
--- a/endivestage/daemon/http_server.hpp
+++ b/endivestage/daemon/http_server.hpp
@@ -82,7 +82,8 @@
     /// Connections that the kernel has accepted already are served.
     void stop_accepting();
 
-    /// \brief Replaces the limits for requests that arrive from now on.
+    /// \brief Replaces the limits for requests that arrive from now on. Connections that wait for a
+    /// request follow a raised \ref http_limits::idle; a lowered one applies from their next wait.
     void set_limits(http_limits limits);
 
     /// \brief Answers from now on ask callers to close their connections.
--- a/tests/daemon_http_server_test.cpp
+++ b/tests/daemon_http_server_test.cpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <stdexcept>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -152,3 +153,76 @@
     REQUIRE(fixture.server.active_requests() == 0);
     REQUIRE(fixture.server.open_connections() == 1);
 }
+
+namespace
+{
+
+void run_for(server_fixture& fixture, std::chrono::milliseconds period)
+{
+    fixture.context.restart();
+    fixture.context.run_for(period);
+}
+
+/// Sends a request, so that the connection waits for the next one.
+tcp::socket connect_and_wait(server_fixture& fixture)
+{
+    tcp::socket caller = fixture.connect();
+    server_fixture::send(caller);
+    REQUIRE(fixture.receive(caller).find("200 OK") != std::string::npos);
+    return caller;
+}
+
+daemon::http_limits idle_limit(millis idle)
+{
+    daemon::http_limits limits;
+    limits.idle = idle;
+    return limits;
+}
+
+} // namespace
+
+// Guards against connections that are closed at the limit of an older configuration, while callers
+// already follow a newer one and reuse them: their requests cross the close.
+TEST_CASE("a connection that waits for a request follows a raised idle limit")
+{
+    server_fixture fixture;
+    fixture.server.set_limits(idle_limit(millis{200}));
+    tcp::socket caller = connect_and_wait(fixture);
+    fixture.server.set_limits(idle_limit(millis{3'600'000}));
+    run_for(fixture, std::chrono::milliseconds(500));
+    REQUIRE(fixture.server.open_connections() == 1);
+    server_fixture::send(caller);
+    REQUIRE(fixture.receive(caller).find("200 OK") != std::string::npos);
+}
+
+// Guards against connections that a lowered limit closes while callers still use the older one.
+TEST_CASE("a connection that waits for a request keeps the idle limit when it is lowered")
+{
+    server_fixture fixture;
+    fixture.server.set_limits(idle_limit(millis{3'600'000}));
+    tcp::socket caller = connect_and_wait(fixture);
+    fixture.server.set_limits(idle_limit(millis{1}));
+    run_for(fixture, std::chrono::milliseconds(100));
+    server_fixture::send(caller);
+    REQUIRE(fixture.receive(caller).find("200 OK") != std::string::npos);
+}
+
+// Guards against idle connections that stay open beyond the limit, and against ones that are closed
+// although the next request has arrived.
+TEST_CASE("an idle connection is closed unless its request has arrived")
+{
+    server_fixture fixture;
+    fixture.server.set_limits(idle_limit(millis{200}));
+    tcp::socket silent = connect_and_wait(fixture);
+    tcp::socket caller = connect_and_wait(fixture);
+    server_fixture::send(caller);
+    // The server does not run meanwhile: it finds the request and the end of the wait together.
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    REQUIRE(fixture.receive(caller).find("200 OK") != std::string::npos);
+    for (int n = 0; n < 400 && fixture.server.open_connections() > 0; ++n)
+    {
+        run_for(fixture, std::chrono::milliseconds(10));
+    }
+    REQUIRE(fixture.server.open_connections() == 0);
+    REQUIRE(fixture.receive(silent).empty());
+}
