Queue signals before the router opens its ports

Cause: run_server registered its handlers after the ports were open. A SIGHUP or SIGTERM in between killed the process by default action, with the connections that the kernel had accepted. Found by reading. Change: the signal sets are created with the event loop; signals are queued until the router has started, then handled. Before: daemon_run_server_test, which raises SIGHUP and SIGTERM while the adapter is made, before the ports are open, fails: the process is killed by a signal. After: it passes (6 runs of 6): the process ends with code 0 after its planned stop. daemon_http_server_test, daemon_planned_stop_test, daemon_platform_path_test, daemon_endpoint_trouble_test, daemon_serving_settings_test, address_test and operations_page pass. Conclusion: a signal that comes before the settings have been read still ends the process, which has no connections then.

--- a/endivestage/serving/run_server.cpp
+++ b/endivestage/serving/run_server.cpp
@@ -136,6 +136,10 @@
     // Writing to a closed connection is reported as an error of the write.
     std::signal(SIGPIPE, SIG_IGN);
     asio::io_context context(1);
+    // By default these signals kill the process, with connections that were accepted meanwhile.
+    // They are queued from here on and handled once the router has started.
+    asio::signal_set reload_signals(context, SIGHUP);
+    asio::signal_set stop_signals(context, SIGTERM, SIGINT);
     server router(context, outcome.settings, make_adapter(context, outcome.settings));
     const std::error_code ec = router.start();
     if (ec)
@@ -146,9 +150,7 @@
     log_event(log_level::info, "started", {{"callers", to_string(outcome.settings.callers)}});
     settings_watcher watcher(context, settings_file, *content, router);
     watcher.start();
-    asio::signal_set reload_signals(context, SIGHUP);
     handle_reload_signals(reload_signals, watcher);
-    asio::signal_set stop_signals(context, SIGTERM, SIGINT);
     stop_signals.async_wait(
         [&router](const boost::system::error_code& failed, int)
         {
