Keep and pass on only the newest version of a row

Cause: the history of a table copy kept the data of up to 512 changes, and a relay sent all versions of a row that a follower had missed. With a configuration of hundreds of kilobytes that is written several times a second, relays encode, followers parse and all routers store versions that nobody uses. Change: the history has key and revision of each change; the data is read from the copy. Versions that were replaced are neither passed on nor returned by apply(). Deletions stay, also before a row that was written again under the same key. Before: of seven versions of a row, a follower two polls behind gets all seven (the new test fails on the former code). Conclusion: the cost of a storm of changes is bounded by the polls of followers, not by the number of versions.

--- a/endivestage/replication/table_replica.cpp
+++ b/endivestage/replication/table_replica.cpp
@@ -25,10 +25,18 @@
         }
         rows_[row.key] = row;
     }
-    log_.push_back(row);
+    log_.push_back({row.key, row.revision, row.deleted});
     return true;
 }
 
+bool table_replica::is_newest(const change& entry) const
+{
+    // A deletion stays in the history when the row was written again, since the later row may
+    // describe something else under the same key.
+    const replicated_row* row = find(entry.key);
+    return entry.deleted || (row != nullptr && row->revision == entry.revision);
+}
+
 std::vector<replicated_row> table_replica::apply(const change_batch& batch)
 {
     std::vector<replicated_row> changed;
@@ -65,6 +73,10 @@
             changed.push_back(row);
         }
     }
+    std::erase_if(changed,
+                  [this](const replicated_row& row) {
+                      return !is_newest({row.key, row.revision, row.deleted});
+                  });
     revision_ = batch.revision;
     if (first)
     {
@@ -89,11 +101,12 @@
         batch.rows = rows();
         return batch;
     }
-    for (const replicated_row& row : log_)
+    for (const change& entry : log_)
     {
-        if (row.revision > revision)
+        if (entry.revision > revision && is_newest(entry))
         {
-            batch.rows.push_back(row);
+            batch.rows.push_back(entry.deleted ? replicated_row{entry.key, {}, entry.revision, true}
+                                               : *find(entry.key));
         }
     }
     return batch;
--- a/endivestage/replication/table_replica.hpp
+++ b/endivestage/replication/table_replica.hpp
@@ -40,6 +40,7 @@
 ///
 /// A relay uses the same object to follow the table service and to serve its followers. A batch
 /// with an older revision than the copy is ignored, so that a copy never returns to an older state.
+/// Of a row that was written several times only the newest version is kept and passed on.
 class table_replica
 {
 public:
@@ -47,8 +48,8 @@
     explicit table_replica(std::size_t max_history = 512) : max_history_(max_history) {}
 
     /// \brief Applies a batch.
-    /// \returns The rows that this changed, deletions included, in the order of the batch; rows
-    /// that a complete batch lacks follow as deletions.
+    /// \returns The rows that this changed, deletions included, in the order of the batch, without
+    /// versions that the same batch replaces; rows that a complete batch lacks follow as deletions.
     std::vector<replicated_row> apply(const change_batch& batch);
 
     /// \returns The changes after \p revision; all rows if the history does not reach back that
@@ -64,6 +65,16 @@
     std::vector<replicated_row> rows() const;
 
 private:
+    /// \brief A change in the history; the data is in rows_.
+    struct change
+    {
+        std::string key;
+        std::uint64_t revision = 0;
+        bool deleted = false;
+    };
+
+    /// \returns Whether no later version has replaced the row that this change wrote.
+    bool is_newest(const change& entry) const;
     /// \returns Whether the row differed from the copy.
     bool apply_row(const replicated_row& row);
 
@@ -71,7 +82,7 @@
     std::optional<std::uint64_t> revision_;
     std::uint64_t history_start_ = 0; ///< log_ has all changes after this revision.
     std::map<std::string, replicated_row, std::less<>> rows_;
-    std::deque<replicated_row> log_;
+    std::deque<change> log_;
 };
 
 } // namespace endivestage
--- a/tests/table_replica_test.cpp
+++ b/tests/table_replica_test.cpp
@@ -52,6 +52,36 @@
     REQUIRE(follower.rows() == relay.rows());
 }
 
+// Guards against relays that send, and routers that parse, every version of a configuration that is
+// written many times between two polls.
+TEST_CASE("only the newest version of a row is passed on")
+{
+    table_replica relay;
+    relay.apply({{make_row("config", 1), make_row("a", 2)}, 2, true});
+    for (std::uint64_t revision = 3; revision <= 9; ++revision)
+    {
+        relay.apply({{make_row("config", revision)}, revision, false});
+    }
+    REQUIRE(relay.changes_since(2).rows == std::vector<replicated_row>{make_row("config", 9)});
+
+    table_replica follower;
+    follower.apply({{make_row("config", 1)}, 2, true});
+    const std::vector<replicated_row> changed = follower.apply(
+        {{make_row("config", 3), make_row("b", 4), make_row("config", 5)}, 5, false});
+    REQUIRE(changed == std::vector<replicated_row>{make_row("b", 4), make_row("config", 5)});
+}
+
+// Guards against state of a removed row that stays with the row written under its key afterwards.
+TEST_CASE("a deletion is passed on before the row that follows it")
+{
+    table_replica relay;
+    relay.apply({{make_row("a", 1)}, 1, true});
+    relay.apply({{make_row("a", 2, true)}, 2, false});
+    relay.apply({{make_row("a", 3)}, 3, false});
+    REQUIRE(relay.changes_since(1).rows ==
+            std::vector<replicated_row>{make_row("a", 2, true), make_row("a", 3)});
+}
+
 // Property: for every sequence of changes, and with arbitrary gaps between its polls, a follower
 // ends with the rows of its relay.
 TEST_CASE("followers converge to their relay")
