Choose the largest hosts as relays

Cause: relays were drawn by a hash weighted with the processor share. After a change of a large configuration, followers waited on the shared link for longer than their time-out of 600 ms, gave the relay up, although it answered, and turned to the next one; 148 of the 157 relay failures that were left were such time-outs, while no event loop was delayed by 100 ms. Change: routers rank relays by size, and hosts of one size by the hash as before. In fleets of equal hosts nothing changes. During a rolling restart the two landings may choose different relays; the age in each answer keeps this safe. The new test fails on the former code: the first relay has 0.12 of a core.

--- a/endivestage/replication/source_choice.cpp
+++ b/endivestage/replication/source_choice.cpp
@@ -8,21 +8,30 @@
 namespace
 {
 
-/// \returns The first \p count candidates in an order that is the same on all routers.
+/// \returns The first \p count candidates in an order that is the same on all routers: larger hosts
+/// first, and hosts of one size by a hash.
 std::vector<router_id> rank_relays(std::vector<relay_candidate> candidates, std::size_t count)
 {
     std::sort(candidates.begin(), candidates.end(),
-              [](const relay_candidate& a, const relay_candidate& b) { return a.id < b.id; });
-    std::vector<weighted_node> nodes;
-    nodes.reserve(candidates.size());
-    for (const relay_candidate& candidate : candidates)
-    {
-        nodes.push_back({hash64(candidate.id.view()), candidate.weight});
-    }
+              [](const relay_candidate& a, const relay_candidate& b)
+              { return a.weight != b.weight ? a.weight > b.weight : a.id < b.id; });
     std::vector<router_id> ranked;
-    for (const std::size_t n : rank_by_rendezvous(hash64("relay"), nodes, count))
+    for (auto it = candidates.begin(); it != candidates.end() && ranked.size() < count;)
     {
-        ranked.push_back(candidates[n].id);
+        const auto end = std::find_if(it, candidates.end(),
+                                      [&](const relay_candidate& candidate)
+                                      { return candidate.weight != it->weight; });
+        std::vector<weighted_node> nodes;
+        for (auto same = it; same != end; ++same)
+        {
+            nodes.push_back({hash64(same->id.view())});
+        }
+        for (const std::size_t n :
+             rank_by_rendezvous(hash64("relay"), nodes, count - ranked.size()))
+        {
+            ranked.push_back((it + static_cast<std::ptrdiff_t>(n))->id);
+        }
+        it = end;
     }
     return ranked;
 }
--- a/endivestage/replication/source_choice.hpp
+++ b/endivestage/replication/source_choice.hpp
@@ -19,7 +19,7 @@
 {
     router_id id;
     zone_id zone;
-    double weight = 1.0; ///< Processor share; larger hosts are chosen as relays more often.
+    double weight = 1.0; ///< Processor share; the largest hosts become relays.
 };
 
 /// \brief Tunables of \ref source_choice; must be equal on all routers.
@@ -52,10 +52,12 @@
 
 /// \brief Chooses a router's source of changes without agreement among routers.
 ///
-/// All routers rank the live routers by the same hash, and the first ones are relays. The first
-/// relay is the primary: it alone polls the table service, the other relays follow it, and all
-/// other routers follow a relay. A relay that does not answer or has lost its source is skipped,
-/// and the next in rank takes its place.
+/// All routers rank the live routers in the same order, larger hosts first and hosts of one size by
+/// a hash, and the first ones are relays. A relay sends each change to tens of followers, which
+/// takes the link and the processor of a small host longer than followers wait. The first relay is
+/// the primary: it alone polls the table service, the other relays follow it, and all other routers
+/// follow a relay. A relay that does not answer or has lost its source is skipped, and the next in
+/// rank takes its place.
 ///
 /// Routers that see different sets of live routers have one primary too many, or ask a router that
 /// follows a relay itself. This is safe: the age that each answer states adds up along the chain,
--- a/tests/source_choice_test.cpp
+++ b/tests/source_choice_test.cpp
@@ -205,3 +205,36 @@
     REQUIRE(make_choice(fleet.front()).choose_relays(fleet, start).size() == 3);
     REQUIRE(make_choice(fleet.front()).choose_relays(std::span(fleet).first(9), start).size() == 2);
 }
+
+// Guards against relays on hosts whose link and processor share are too small to pass a large
+// configuration to tens of followers in time, while larger hosts are alive.
+TEST_CASE("the largest hosts are relays")
+{
+    std::vector<relay_candidate> fleet = make_fleet(71);
+    for (std::size_t n = 0; n < fleet.size(); ++n)
+    {
+        fleet[n].weight = n % 15 == 0 ? 0.5 : 0.12;
+    }
+    source_choice choice = make_choice(fleet[1]);
+    const std::vector<router_id> relays = choice.choose_relays(fleet, start);
+    REQUIRE(relays.size() == 3);
+    for (const router_id& relay : relays)
+    {
+        const auto it =
+            std::find_if(fleet.begin(), fleet.end(),
+                         [&](const relay_candidate& candidate) { return candidate.id == relay; });
+        REQUIRE(it->weight == 0.5);
+        choice.record_failure(relay, start);
+    }
+    // Two large hosts are left; a small one is the third relay.
+    const std::vector<router_id> next = choice.choose_relays(fleet, start);
+    REQUIRE(next.size() == 3);
+    for (const router_id& relay : next)
+    {
+        REQUIRE(std::find(relays.begin(), relays.end(), relay) == relays.end());
+    }
+    const auto last =
+        std::find_if(fleet.begin(), fleet.end(),
+                     [&](const relay_candidate& candidate) { return candidate.id == next.back(); });
+    REQUIRE(last->weight == 0.12);
+}
