Drop a request whose caller has left before it is read

Cause: on an overloaded router a request is read seconds after it was sent, when its caller has given up and closed the connection. on_caller_left only started an asynchronous wait, which cannot complete before the handler suspends; by then the exchange has sent the request on a kept connection, or has opened a connection for it. Change: on_caller_left looks at the socket at once and calls the callback before it returns if the caller has left. The exchange checks this before each attempt and then chooses no endpoint, opens no connection and records caller_left. The chat session, which registers the same callback, neither asks for a permit nor reopens a stream for such a caller. Before: the new test in daemon_platform_path_test, a request whose caller closes before the event loop runs, fails in both cases: on a kept connection the engine receives the request (2 == 1); without one a connection to the engine is opened. After: it passes. daemon_http_server_test, daemon_platform_path_test, daemon_planned_stop_test, daemon_endpoint_trouble_test and daemon_run_server_test pass. The change of the chat session has no test of its own. Conclusion: callers that have left before their request is read cost no work. Open: an attempt after the first one relies on the wait alone, so when an engine's refusal and the caller's close are handled in one pass of the event loop, the request may be sent once more. The wait ends when bytes of a further request arrive, so a later close is noticed only at the next write; the same wait, armed again, would complete at once as long as the bytes are unread.

--- a/endivestage/daemon/chat_session.cpp
+++ b/endivestage/daemon/chat_session.cpp
@@ -118,6 +118,10 @@
 awaitable<bool> chat_session::place()
 {
     writer_.on_caller_left([this] { on_caller_left(); });
+    if (caller_left_)
+    {
+        co_return false;
+    }
     const result<placed_request> placed =
         co_await service_.placement_.place(request_.placement, failed_engines_);
     if (placed && caller_left_)
@@ -225,6 +229,10 @@
     if (resume)
     {
         writer_.on_caller_left([this] { on_caller_left(); });
+        if (caller_left_)
+        {
+            co_return relay_end::caller_left;
+        }
     }
     const std::error_code ec = co_await open(resume);
     if (caller_left_)
--- a/endivestage/daemon/http_server.cpp
+++ b/endivestage/daemon/http_server.cpp
@@ -150,6 +150,14 @@
 
     void on_caller_left(std::function<void()> callback) override
     {
+        // The asynchronous wait completes only after the handler has suspended, and by then the
+        // handler may have sent the request on.
+        if (at_end())
+        {
+            log_disconnect({});
+            callback();
+            return;
+        }
         caller_left_ = std::move(callback);
         watch();
     }
--- a/endivestage/daemon/http_server.hpp
+++ b/endivestage/daemon/http_server.hpp
@@ -40,7 +40,8 @@
     virtual void abort() = 0;
 
     /// \brief Sets a function that is called at most once when the caller closes its connection
-    /// before the answer is complete. Called on the connection's strand.
+    /// before the answer is complete. Called on the connection's strand, and before this function
+    /// returns if the caller has left already.
     virtual void on_caller_left(std::function<void()> callback) = 0;
 };
 
--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -86,6 +86,12 @@
          {"took_ms", duration}});
 }
 
+void exchange::end_without_caller()
+{
+    record_end("caller_left", 0);
+    caller_.abort();
+}
+
 awaitable<void> exchange::run()
 {
     routes_ = state_.routes;
@@ -211,6 +217,11 @@
     repeat_budget& budget = state_.repeat_budget_for(service_);
     for (;;)
     {
+        if (caller_left_)
+        {
+            end_without_caller();
+            co_return;
+        }
         const endpoint_state* chosen = choose_endpoint();
         if (chosen == nullptr)
         {
@@ -231,8 +242,7 @@
         {
             state_.endpoints.end_request(endpoint.id, endpoint_outcome::shed, state_.time.now(),
                                          millis{0});
-            record_end("caller_left", 0);
-            caller_.abort();
+            end_without_caller();
             co_return;
         }
         state_.endpoints.end_request(endpoint.id, outcome, state_.time.now(), cold_period);
--- a/endivestage/serving/exchange.hpp
+++ b/endivestage/serving/exchange.hpp
@@ -54,6 +54,7 @@
     void log_placement(const forwarding_info& info) const;
     void release_connection(const endpoint_id& endpoint);
     void record_end(std::string_view result, int status) const;
+    void end_without_caller();
     millis time_left() const;
 
     boost::asio::any_io_executor executor_;
--- a/tests/daemon_platform_path_test.cpp
+++ b/tests/daemon_platform_path_test.cpp
@@ -17,6 +17,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <optional>
@@ -326,6 +327,57 @@
         });
 }
 
+namespace
+{
+
+/// Sends a request and closes the connection, before the router has read any of it.
+void send_and_leave(fleet& f, const std::string& id)
+{
+    asio::ip::tcp::socket caller(f.context);
+    caller.connect({asio::ip::make_address(f.settings.callers.host), f.settings.callers.port});
+    asio::write(caller, asio::buffer("POST /o/ HTTP/1.1\r\nHost: t.example\r\nX-Attempt-Id: " + id +
+                                     "\r\nAuthorization: Bearer key-1\r\n"
+                                     "Content-Length: 0\r\n\r\n"));
+}
+
+bool contains(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+// Guards against an overloaded router that reads a request after its caller has given up and still
+// sends it to an engine.
+TEST_CASE("a request whose caller has left before it is read reaches no engine")
+{
+    const bool kept_connection = GENERATE(false, true);
+    fleet f;
+    standin::platform_engine& engine = f.add_engine("e1", respond_ok());
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            if (kept_connection)
+            {
+                const http_response got = co_await f.send_request("POST", "/o/");
+                REQUIRE(got.status == 200);
+            }
+            const std::size_t before = engine.received().size();
+            send_and_leave(f, "leaver");
+            http_response metrics;
+            while (!contains(metrics.body, "endivestage_requests_total{result=\"caller_left\"} 1"))
+            {
+                co_await f.pause(5);
+                metrics = co_await f.get(f.settings.metrics, "/metrics");
+            }
+            // No connection is opened for it either.
+            REQUIRE(contains(metrics.body, "endivestage_connections_total") == kept_connection);
+            co_await f.pause(20);
+            REQUIRE(engine.received().size() == before);
+        });
+}
+
 // Fault: an engine has stopped but its record still exists.
 TEST_CASE("an unreachable engine makes no request fail")
 {
