Keep a stopping router from joining its fleet

Cause: when SIGTERM comes before the store has answered the first read of the routers' table, stop() finds no peer service, so the router announces no leave. join_fleet then went on: it created the peer service, which takes part in failure detection as alive, and wrote the router's row. Other routers name it in address answers until it ends. Found by reading. Change: join_fleet ends when the router stops before the table has been read, and reads it no further; announce_self writes no row for a stopping router. Before: the new test in daemon_planned_stop_test, a second router that is stopped while the store is silent or answers 503, fails in both cases: its row is in the table one second after the store is back. After: it passes; the first router knows of no other router. daemon_http_server_test, daemon_platform_path_test, daemon_planned_stop_test, daemon_endpoint_trouble_test and daemon_run_server_test pass. Conclusion: such a router refuses requests with 503 until it ends, as before. A write that is in flight when SIGTERM comes still adds the row; the peer service exists by then and has announced the leave.

--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -151,7 +151,7 @@
     self.udp_port = settings_.peer_port;
     self.incarnation = static_cast<std::uint64_t>(time_.wall_now().since_epoch);
     change_batch listed_routers;
-    for (;;)
+    while (!stopping_)
     {
         const result<timestamped_batch> listed =
             co_await platform_.tables->list(shared_table::routers);
@@ -163,6 +163,11 @@
         log_event(log_level::warning, "join_delayed", {listed.error()});
         co_await daemon::sleep_for(join_retry_delay);
     }
+    if (stopping_)
+    {
+        // stop() could not announce that this router leaves, so the others must not hear of it.
+        co_return;
+    }
     for (const replicated_row& row : listed_routers.rows)
     {
         if (row.key == settings_.name.view())
@@ -259,12 +264,12 @@
 
 awaitable<void> server::announce_self()
 {
-    for (;;)
+    while (!stopping_)
     {
         std::string row = peer_service_->own_row();
         const std::error_code ec = co_await platform_.tables->write(
             shared_table::routers, settings_.name.str(), std::move(row));
-        if (!ec || stopping_)
+        if (!ec)
         {
             co_return;
         }
--- a/tests/daemon_planned_stop_test.cpp
+++ b/tests/daemon_planned_stop_test.cpp
@@ -148,3 +148,29 @@
             REQUIRE(early.has_received(stream_end));
         });
 }
+
+// Guards against a router that joins its fleet after it was asked to stop: the others name it in
+// address answers.
+TEST_CASE("a router that stops before the store has answered does not join its fleet")
+{
+    const bool silent = GENERATE(false, true);
+    fleet f;
+    f.add_engine("e1", respond_ok());
+    f.start_router();
+    serving::server_settings other;
+    std::unique_ptr<serving::server> second;
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            f.store.faults.silent = silent;
+            f.store.faults.status = silent ? 0 : 503;
+            second = f.start_second_router(router_id("r2"), other);
+            co_await f.pause(50);
+            second->stop();
+            f.store.faults = {};
+            co_await f.pause(1000);
+            REQUIRE(f.store.get("endivestage-routers", "r2").empty());
+            const http_response metrics = co_await f.get(f.settings.metrics, "/metrics");
+            REQUIRE(contains(metrics.body, "\nendivestage_routers 1\n"));
+        });
+}
