Treat a stream that ends inside an event as broken off

Cause: at the end of a response, exchange::forward_events passed on whatever the framer still held and recorded the stream as served. An engine that fails may close its connection in an orderly way, and a response without a length or chunks has no other end, so callers got part of an event and a valid end after it; a resumable stream was not continued. Change: event_framer::ends_inside_event decides by the lines that follow the last event: a field without its final blank line or a line without an end is an incomplete event, which SSE clients discard; comments and blank lines are none. Such a stream is broken: it continues at another engine where the route allows that, else the caller's connection is cut. Chunked streams that end whole are judged alike. Before: daemon_platform_path_test with the new cases and without the check in forward_events: three of four fail, 10 assertions ("a stream that ends inside an event is cut", "... inside its first event is not delivered", "a resumable stream ... continues at another engine"); the callers' responses were complete and ended in "id: 3\ndat". With an ends_inside_event that always answers no, the cases "is incomplete" and "make a stream incomplete" of daemon_event_framer_test fail (13 assertions). After: daemon_event_framer_test passes (7 cases, 171 assertions), daemon_platform_path_test passes (24 cases, 309 assertions). In 10 runs of the latter and 12 runs of the new cases alone on a busy machine, two ended with one failed case: in one of them the router of the fixture did not start (EADDRINUSE: the fixture looks for free ports and releases them before the start); the output of the other was not kept. Conclusion: an orderly end of a connection completes a stream only after a complete event.

--- a/endivestage/serving/event_framer.cpp
+++ b/endivestage/serving/event_framer.cpp
@@ -103,6 +103,25 @@
     return rest;
 }
 
+bool event_framer::ends_inside_event() const
+{
+    bool inside = false;
+    std::string_view rest = buf_;
+    while (!rest.empty())
+    {
+        // A line ends with LF, CR or CRLF.
+        const std::size_t length = rest.find_first_of("\r\n");
+        if (length == std::string_view::npos)
+        {
+            return true;
+        }
+        const bool comment = rest.starts_with(':');
+        inside = length > 0 && (inside || !comment);
+        rest.remove_prefix(length + (rest.substr(length).starts_with("\r\n") ? 2 : 1));
+    }
+    return inside;
+}
+
 void event_framer::restart()
 {
     buf_.clear();
--- a/endivestage/serving/event_framer.hpp
+++ b/endivestage/serving/event_framer.hpp
@@ -29,6 +29,11 @@
     /// of a complete stream.
     std::string take_remainder();
 
+    /// \returns Whether a stream that ends with the bytes received so far is incomplete, since an
+    /// event lacks its final blank line or a line lacks its end. Comments and blank lines after the
+    /// last event are no event.
+    bool ends_inside_event() const;
+
     /// \brief Discards a partial event; the bytes that follow come from another response, which
     /// starts or resumes the stream.
     void restart();
--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -552,6 +552,10 @@
             co_return endpoint_outcome::broken;
         }
         const bool end = chunk->empty();
+        if (end && framer_.ends_inside_event())
+        {
+            co_return endpoint_outcome::broken;
+        }
         std::string events = end ? framer_.take_remainder() : framer_.add(*chunk);
         if (framer_.is_broken())
         {
--- a/tests/daemon_event_framer_test.cpp
+++ b/tests/daemon_event_framer_test.cpp
@@ -1,8 +1,11 @@
 #include <endivestage/serving/event_framer.hpp>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 #include <rapidcheck/catch.h>
+#include <string>
+#include <vector>
 
 using namespace endivestage::serving;
 
@@ -80,3 +83,63 @@
               });
     SUCCEED();
 }
+
+// Fault: an engine ends its response in an orderly way but inside an event, at any byte. SSE
+// clients discard an event without its final blank line, so the stream is not complete.
+TEST_CASE("a stream that ends inside an event is incomplete")
+{
+    const std::string line_end = GENERATE("\n", "\r\n");
+    std::string text;
+    std::vector<std::size_t> event_ends{0};
+    for (int id = 1; id <= 3; ++id)
+    {
+        for (const std::string& line :
+             {"id: " + std::to_string(id), std::string("data: token"), std::string()})
+        {
+            text += line;
+            text += line_end;
+        }
+        event_ends.push_back(text.size());
+    }
+    for (std::size_t length = 0; length <= text.size(); ++length)
+    {
+        event_framer framer;
+        framer.add(std::string_view(text).substr(0, length));
+        const bool at_event_end =
+            std::find(event_ends.begin(), event_ends.end(), length) != event_ends.end();
+        // A CR already ends the blank line; the LF after it belongs to the same line end.
+        const bool before_last_lf =
+            length > 0 && text[length - 1] == '\r' &&
+            std::find(event_ends.begin(), event_ends.end(), length + 1) != event_ends.end();
+        CAPTURE(line_end, length);
+        REQUIRE(framer.ends_inside_event() == !(at_event_end || before_last_lf));
+    }
+}
+
+// Fault: a line that is no comment, or that has no end, is taken for the regular end of a stream.
+TEST_CASE("fields without a blank line and lines without an end make a stream incomplete")
+{
+    const std::string rest =
+        GENERATE("id: 2", "id: 2\n", "data: token\n", "data: token\r", "data\n", "retry: 100\n",
+                 "x-weight-versions: 4\n", ": comment", "data: token\n: comment\n",
+                 ": comment\ndata: token\n", "\n\ndata: token\n");
+    event_framer framer;
+    framer.add(make_event(1) + rest);
+    CAPTURE(rest);
+    REQUIRE(framer.ends_inside_event());
+}
+
+// Guards against cutting complete streams: comments and blank lines after the last event are no
+// event, and a line may end with CR, LF or both.
+TEST_CASE("comments and blank lines after the last event leave a stream complete")
+{
+    const std::string rest =
+        GENERATE("", "\n", "\r\n", "\r", "\n\n\n", ": comment\n", ": comment\r\n", ":\r",
+                 "\n: comment\n", ": comment\n: another\n", "data: token\n\r\n", "data: token\r\r",
+                 "data: token\r\n\r\n: comment\n");
+    event_framer framer;
+    const std::string delivered = framer.add(make_event(1) + rest);
+    CAPTURE(rest);
+    REQUIRE_FALSE(framer.ends_inside_event());
+    REQUIRE(delivered + framer.take_remainder() == make_event(1) + rest);
+}
--- a/tests/daemon_platform_path_test.cpp
+++ b/tests/daemon_platform_path_test.cpp
@@ -289,6 +289,162 @@
         });
 }
 
+namespace
+{
+
+std::string make_event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: token\n\n";
+}
+
+/// Response with \p events whose end is the last chunk or, without chunks, the end of the
+/// connection.
+engine_reply make_complete_stream(const http_request& request, const std::string& events,
+                                  bool chunked)
+{
+    if (chunked)
+    {
+        return keep_open(make_stream_head(request) + standin::make_chunk(events) +
+                         standin::last_chunk);
+    }
+    return {{"HTTP/1.1 200 OK\r\nX-Attempt-Id: " + standin::request_id(request) +
+             "\r\nX-Origin-Seal: seal\r\nContent-Type: text/event-stream\r\n\r\n" + events},
+            millis{0},
+            engine_reply::connection_action::close};
+}
+
+struct received_stream
+{
+    int status = 0; ///< 0 without a response head.
+    std::string events;
+    bool complete = false; ///< Whether the response came to a valid end.
+};
+
+/// Reads a response as far as it comes, also when its connection ends before its end.
+awaitable<received_stream> receive_stream(fleet& f, std::string target)
+{
+    received_stream received;
+    daemon::http_connection caller(f.context.get_executor());
+    const std::error_code ec =
+        co_await caller.connect(f.settings.callers, millis{1000}, millis{1000});
+    REQUIRE_FALSE(ec);
+    http_request request;
+    request.method = "POST";
+    request.target = std::move(target);
+    request.fields = {{"Host", "t.example"},
+                      {"X-Attempt-Id", "stream-" + std::to_string(++f.attempts)},
+                      {"Authorization", "Bearer key-1"}};
+    caller.send(std::move(request));
+    result<http_response> head = co_await caller.read_head(millis{5000});
+    if (!head)
+    {
+        co_return received;
+    }
+    received.status = head->status;
+    for (;;)
+    {
+        result<std::string> bytes = co_await caller.read_some(millis{5000});
+        received.complete = bytes && bytes->empty();
+        if (!bytes || bytes->empty())
+        {
+            co_return received;
+        }
+        received.events += *bytes;
+    }
+}
+
+} // namespace
+
+// Fault: an engine ends its response in an orderly way inside an event, with the last chunk or,
+// without chunks, with its connection. The caller must not get that event or a valid end.
+TEST_CASE("a stream that ends inside an event is cut")
+{
+    const bool chunked = GENERATE(true, false);
+    const std::string rest = GENERATE("id: 3\ndat", "id: 3\ndata: token\n");
+    fleet f;
+    f.add_engine(
+        "e1", [&](const http_request& request)
+        { return make_complete_stream(request, make_event(1) + make_event(2) + rest, chunked); });
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            const received_stream cut = co_await receive_stream(f, "/s/");
+            CAPTURE(chunked, rest, cut.events);
+            REQUIRE(cut.status == 200);
+            REQUIRE(cut.events == make_event(1) + make_event(2));
+            REQUIRE_FALSE(cut.complete);
+        });
+}
+
+// Fault: an engine ends its response in an orderly way inside the first event, so that no event is
+// complete. The caller must not get a successful response.
+TEST_CASE("a stream that ends inside its first event is not delivered")
+{
+    const bool chunked = GENERATE(true, false);
+    fleet f;
+    f.add_engine("e1", [&](const http_request& request)
+                 { return make_complete_stream(request, "id: 1\ndata: tok", chunked); });
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            const received_stream failed = co_await receive_stream(f, "/s/");
+            CAPTURE(chunked, failed.events);
+            REQUIRE(failed.status == 502);
+        });
+}
+
+// Fault: an engine ends the response to a resumable stream inside an event. Another engine must
+// continue after the last complete event.
+TEST_CASE("a resumable stream that ends inside an event continues at another engine")
+{
+    const bool chunked = GENERATE(true, false);
+    const std::string rest = GENERATE("id: 3\ndat", "id: 3\ndata: token\n");
+    fleet f;
+    const auto respond = [&](const http_request& request)
+    {
+        const bool resumed = standin::last_event_id(request) == 2;
+        return make_complete_stream(
+            request, resumed ? make_event(3) + make_event(4) : make_event(1) + make_event(2) + rest,
+            chunked);
+    };
+    f.add_engine("e1", respond);
+    f.add_engine("e2", respond);
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            const received_stream continued = co_await receive_stream(f, "/r/");
+            CAPTURE(chunked, rest);
+            REQUIRE(continued.events ==
+                    make_event(1) + make_event(2) + make_event(3) + make_event(4));
+            REQUIRE(continued.complete);
+            REQUIRE(f.engines[0]->received().size() == 1);
+            REQUIRE(f.engines[1]->received().size() == 1);
+        });
+}
+
+// Guards against cutting complete streams whose end is only the orderly end of the connection, with
+// or without a comment after the last event.
+TEST_CASE("a stream without a length is complete when it ends after an event")
+{
+    const std::string rest = GENERATE("", ": comment\n");
+    fleet f;
+    f.add_engine(
+        "e1", [&](const http_request& request)
+        { return make_complete_stream(request, make_event(1) + make_event(2) + rest, false); });
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            const received_stream whole = co_await receive_stream(f, "/s/");
+            REQUIRE(whole.status == 200);
+            REQUIRE(whole.events == make_event(1) + make_event(2) + rest);
+            REQUIRE(whole.complete);
+        });
+}
+
 // Guards against engines working for callers that have disconnected.
 TEST_CASE("a caller's disconnect cancels the request at the engine")
 {
