Keep prompts with a part that crashes engines from the engines

Cause: a broken connection was evidence about the engine only. Nothing recorded which prompts were in flight when an engine crashed, so every router sent the next request with the deadly part to the next engine, and resumable routes sent the same one twice. One router sees too few of them to notice: 71 routers got one each six seconds. Change: prompt_quarantine (module routing, no sockets) finds the part that is in flight at crash after crash and in no served request, from reports that the routers gossip. A crash is a connection that breaks before the first event while the engine accepts no new one. Three crashes quarantine a new part; parts that were served before need six that no new part explains; new parts with the same crashes are refused together only. Only a refused connection counts as a crash, reports carry their true age, and a trial is passed on once. Refusals are 503, prompt_quarantined, not_run, at once, with the time to come back; a request that may have run gets 502. A quarantine lasts 20 s, doubled with each failed trial, and ends with one request of a few routers, or with any served request; for parts that were served before it lasts 3 s, since all engines of a service may fail at once.

--- a/endivestage/core/error.cpp
+++ b/endivestage/core/error.cpp
@@ -81,6 +81,8 @@
         return "stale_fencing_token";
     case errc::cancelled:
         return "cancelled";
+    case errc::prompt_quarantined:
+        return "prompt_quarantined";
     case errc::internal:
         break;
     }
--- a/endivestage/core/error.hpp
+++ b/endivestage/core/error.hpp
@@ -41,6 +41,7 @@
     stale_fencing_token,
     cancelled,
     internal,
+    prompt_quarantined,
 };
 
 /// \brief Whether a request was executed by an endpoint.
--- a/endivestage/daemon/http_connection.cpp
+++ b/endivestage/daemon/http_connection.cpp
@@ -63,6 +63,7 @@
     bool sending = false;
     bool send_failed = false;
     bool closed = false;
+    bool refused = false;
 };
 
 http_connection::http_connection(asio::any_io_executor executor)
@@ -94,6 +95,7 @@
         co_await self->stream.async_connect(tcp::endpoint(ip, address.port),
                                             asio::redirect_error(asio::use_awaitable, ec));
     }
+    self->refused = ec == asio::error::connection_refused;
     if (ec)
     {
         co_return self->closed ? make_error_code(errc::cancelled)
@@ -108,6 +110,11 @@
     co_return std::error_code{};
 }
 
+bool http_connection::refused() const
+{
+    return state_->refused;
+}
+
 awaitable<void>
 http_connection::state::write(std::shared_ptr<state> self,
                               std::shared_ptr<http::request<http::string_body>> message)
--- a/endivestage/daemon/http_connection.hpp
+++ b/endivestage/daemon/http_connection.hpp
@@ -31,6 +31,9 @@
     /// \param silence The connection is given up when sent bytes stay unacknowledged for so long.
     awaitable<std::error_code> connect(network_address address, millis timeout, millis silence);
 
+    /// \returns Whether the last \ref connect failed because the host refused the connection.
+    bool refused() const;
+
     /// \brief Begins to send a request and returns at once. An answer may be read while the body is
     /// still being sent, since a server may refuse a request before it has read it all.
     void send(http_request request);
--- a/endivestage/routing.hpp
+++ b/endivestage/routing.hpp
@@ -10,6 +10,7 @@
 ///  - repeat_budget, cold_send_share (routing/send_limits.hpp): one router's share of fleet limits
 ///  - load_aggregator (routing/load_aggregator.hpp): open requests per engine over all routers
 ///  - prefix_directory (routing/prefix_directory.hpp): engines that have parts of prompts cached
+///  - prompt_quarantine (routing/prompt_quarantine.hpp): parts of prompts that crash engines
 ///  - remote_clock, freshness_lease (routing/freshness_lease.hpp): how long table copies are valid
 #pragma once
 
@@ -19,5 +20,6 @@
 #include <endivestage/routing/freshness_lease.hpp>
 #include <endivestage/routing/load_aggregator.hpp>
 #include <endivestage/routing/prefix_directory.hpp>
+#include <endivestage/routing/prompt_quarantine.hpp>
 #include <endivestage/routing/route_table.hpp>
 #include <endivestage/routing/send_limits.hpp>
--- /dev/null
+++ b/endivestage/routing/prompt_quarantine.cpp
@@ -0,0 +1,389 @@
+#include <endivestage/routing/prompt_quarantine.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <limits>
+#include <string_view>
+
+namespace endivestage
+{
+
+namespace
+{
+
+/// \returns A number from 0 to 1 that is uniform over the routers and independent between parts.
+double unit_hash(std::uint64_t part, std::uint64_t router)
+{
+    const std::string_view bytes(reinterpret_cast<const char*>(&part), sizeof part);
+    return static_cast<double>(hash64(bytes, router)) /
+           static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
+} // namespace
+
+void prompt_quarantine::served_parts::add(std::uint64_t part, time_point at)
+{
+    recent_[part] = std::max(at, find(part).value_or(at));
+    if (recent_.size() * 2 > capacity_)
+    {
+        older_.swap(recent_);
+        recent_.clear();
+    }
+}
+
+std::optional<time_point> prompt_quarantine::served_parts::find(std::uint64_t part) const
+{
+    for (const std::unordered_map<std::uint64_t, time_point>* parts : {&recent_, &older_})
+    {
+        const auto it = parts->find(part);
+        if (it != parts->end())
+        {
+            return it->second;
+        }
+    }
+    return std::nullopt;
+}
+
+std::size_t prompt_quarantine::count_crashes(const entry& part) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(part.crashes.begin(), part.crashes.end(),
+                      [&](const std::pair<const std::uint64_t, time_point>& crash)
+                      { return crash.second > part.served_at; }));
+}
+
+std::size_t prompt_quarantine::min_crashes(const entry& part) const
+{
+    return part.proven ? config_.min_crashes_if_proven : config_.min_crashes;
+}
+
+// Crashes before the end of a quarantine do not make it longer than one period after the last one:
+// they come from requests that were on their way. A later crash is a trial that failed.
+void prompt_quarantine::prolong(entry& part, time_point crashed_at) const
+{
+    if (part.ends_at >= time_point{0} && crashed_at >= part.ends_at)
+    {
+        ++part.failed_trials;
+    }
+    millis duration = part.proven ? config_.min_duration_if_proven : config_.min_duration;
+    for (std::uint32_t n = 0; n < part.failed_trials && duration < config_.max_duration; ++n)
+    {
+        duration = std::min(config_.max_duration, duration * 2);
+    }
+    part.ends_at = std::max(part.ends_at, crashed_at + duration);
+}
+
+bool prompt_quarantine::has_settled(const entry& part, time_point now) const
+{
+    return part.reached_at && now - *part.reached_at >= config_.settling_time;
+}
+
+// A request without a suspect shows whether the others that occur in the same crashes are sound, so
+// suspects outside the request explain crashes of its parts. Those inside it explain only crashes
+// of parts that were served before.
+bool prompt_quarantine::blocks(const entry& part, std::span<const prompt_part> request,
+                               time_point now) const
+{
+    if (!has_settled(part, now))
+    {
+        return false;
+    }
+    std::vector<const entry*> suspects;
+    for (auto it = entries_.begin(); it != entries_.end(); ++it)
+    {
+        const bool in_request =
+            std::any_of(request.begin(), request.end(),
+                        [&](const prompt_part& p) { return p.hash == it->first; });
+        if (!it->second.proven && has_settled(it->second, now) && (part.proven || !in_request))
+        {
+            suspects.push_back(&it->second);
+        }
+    }
+    const std::size_t unexplained = static_cast<std::size_t>(
+        std::count_if(part.crashes.begin(), part.crashes.end(),
+                      [&](const std::pair<const std::uint64_t, time_point>& crash)
+                      {
+                          return crash.second > part.served_at &&
+                                 std::none_of(suspects.begin(), suspects.end(),
+                                              [&](const entry* suspect)
+                                              { return suspect->crashes.contains(crash.first); });
+                      }));
+    return unexplained >= min_crashes(part);
+}
+
+void prompt_quarantine::update_reached(entry& part, time_point now)
+{
+    if (count_crashes(part) < min_crashes(part))
+    {
+        part.reached_at.reset();
+        part.ends_at = time_point{-1};
+        part.failed_trials = 0;
+    }
+    else if (!part.reached_at)
+    {
+        part.reached_at = now;
+    }
+}
+
+bool prompt_quarantine::add_crash(const part_report& report, time_point now)
+{
+    if (report.age > config_.max_duration)
+    {
+        return false;
+    }
+    entry& part = entries_[report.part];
+    if (part.crashes.contains(report.event))
+    {
+        return false;
+    }
+    if (part.crashes.size() >= max_crashes)
+    {
+        const auto oldest = std::min_element(part.crashes.begin(), part.crashes.end(),
+                                             [](const std::pair<const std::uint64_t, time_point>& a,
+                                                const std::pair<const std::uint64_t, time_point>& b)
+                                             { return a.second < b.second; });
+        part.crashes.erase(oldest);
+    }
+    const time_point crashed_at = now - report.age;
+    const std::optional<time_point> served_at = served_.find(report.part);
+    part.crashes.emplace(report.event, crashed_at);
+    part.updated_at = now;
+    part.proven = part.proven || served_at.has_value();
+    part.served_at = std::max(part.served_at, served_at.value_or(part.served_at));
+    update_reached(part, now);
+    if (part.reached_at && crashed_at > part.served_at)
+    {
+        prolong(part, crashed_at);
+    }
+    evict_oldest();
+    return true;
+}
+
+bool prompt_quarantine::add_served(const part_report& report, time_point now)
+{
+    const time_point served_at = now - report.age;
+    served_.add(report.part, served_at);
+    const auto it = entries_.find(report.part);
+    if (it == entries_.end())
+    {
+        return false;
+    }
+    entry& part = it->second;
+    const bool clears = count_crashes(part) > 0 && served_at > part.served_at;
+    const bool is_new = clears || !part.proven;
+    part.proven = true;
+    part.served_at = std::max(part.served_at, served_at);
+    part.updated_at = now;
+    update_reached(part, now);
+    return is_new;
+}
+
+void prompt_quarantine::evict_oldest()
+{
+    if (entries_.size() <= config_.max_parts)
+    {
+        return;
+    }
+    // A quarantined part gets no new reports, so it is kept longer than those that are not.
+    const auto oldest = std::min_element(
+        entries_.begin(), entries_.end(),
+        [](const std::pair<const std::uint64_t, entry>& a,
+           const std::pair<const std::uint64_t, entry>& b)
+        {
+            return std::make_pair(a.second.reached_at.has_value(), a.second.updated_at) <
+                   std::make_pair(b.second.reached_at.has_value(), b.second.updated_at);
+        });
+    entries_.erase(oldest);
+}
+
+std::vector<part_report> prompt_quarantine::record_crash(std::span<const prompt_part> parts,
+                                                         std::uint64_t crash, millis age,
+                                                         time_point now)
+{
+    std::vector<part_report> reports;
+    for (const prompt_part& part : parts)
+    {
+        const std::vector<part_report> learned =
+            learn_crash({part_report::type::crashed, part.hash, crash, age}, now);
+        reports.insert(reports.end(), learned.begin(), learned.end());
+    }
+    return reports;
+}
+
+// Other routers need the report, and may not know that the part was served before.
+std::vector<part_report> prompt_quarantine::learn_crash(const part_report& report, time_point now)
+{
+    const auto known = entries_.find(report.part);
+    const bool was_proven = known != entries_.end() && known->second.proven;
+    std::vector<part_report> reports;
+    if (add_crash(report, now))
+    {
+        reports.push_back(report);
+    }
+    const auto it = entries_.find(report.part);
+    if (it != entries_.end() && it->second.proven && !was_proven)
+    {
+        const time_point served_at = served_.find(report.part).value_or(it->second.served_at);
+        reports.push_back({part_report::type::served, report.part, 0, now - served_at});
+    }
+    return reports;
+}
+
+std::vector<part_report> prompt_quarantine::record_served(std::span<const prompt_part> parts,
+                                                          time_point now)
+{
+    std::vector<part_report> reports;
+    for (const prompt_part& part : parts)
+    {
+        const part_report report{part_report::type::served, part.hash, 0, millis{0}};
+        if (add_served(report, now))
+        {
+            reports.push_back(report);
+        }
+    }
+    return reports;
+}
+
+std::vector<part_report> prompt_quarantine::apply(const part_report& report, time_point now)
+{
+    switch (report.kind)
+    {
+    case part_report::type::served:
+        return add_served(report, now) ? std::vector<part_report>{report}
+                                       : std::vector<part_report>{};
+    case part_report::type::trial:
+    {
+        const auto it = entries_.find(report.part);
+        const time_point until = now - report.age + config_.trial_duration;
+        if (it == entries_.end() || report.event == it->second.trial || until <= now)
+        {
+            return {};
+        }
+        it->second.trial = report.event;
+        it->second.trial_until = std::max(it->second.trial_until, until);
+        return {report};
+    }
+    case part_report::type::crashed:
+        break;
+    }
+    std::vector<part_report> reports = learn_crash(report, now);
+    const auto it = entries_.find(report.part);
+    if (it == entries_.end() || now - report.age > it->second.served_at)
+    {
+        return reports;
+    }
+    // The sender does not know that the part was served after this crash.
+    entry& part = it->second;
+    if (now - part.repeated_at < config_.repeat_interval)
+    {
+        return {};
+    }
+    part.repeated_at = now;
+    return {{part_report::type::served, report.part, 0, now - part.served_at}};
+}
+
+bool prompt_quarantine::contains(std::span<const prompt_part> parts, time_point now) const
+{
+    return std::any_of(parts.begin(), parts.end(),
+                       [&](const prompt_part& part)
+                       {
+                           const auto it = entries_.find(part.hash);
+                           return it != entries_.end() && blocks(it->second, parts, now);
+                       });
+}
+
+// The number of entitled routers grows fourfold with each step, so that a part in rare use is tried
+// as well, and one in frequent use by few routers before the others hear of their trial.
+bool prompt_quarantine::may_try(std::uint64_t hash, const entry& part, std::size_t routers,
+                                time_point now) const
+{
+    if (now < part.ends_at || now < part.trial_until)
+    {
+        return false;
+    }
+    const std::int64_t steps =
+        std::min<std::int64_t>((now - part.ends_at).count / config_.trial_step.count, 16);
+    const double entitled = std::pow(4.0, static_cast<double>(steps));
+    const double position = unit_hash(hash, self_);
+    return position * static_cast<double>(routers) <= entitled;
+}
+
+quarantine_decision prompt_quarantine::admit(std::span<const prompt_part> parts,
+                                             std::size_t routers, time_point now)
+{
+    assert(routers > 0);
+    quarantine_decision decision;
+    std::vector<entry*> tried;
+    for (const prompt_part& part : parts)
+    {
+        const auto it = entries_.find(part.hash);
+        if (it == entries_.end() || !blocks(it->second, parts, now))
+        {
+            continue;
+        }
+        decision.part = part.hash;
+        if (!may_try(part.hash, it->second, routers, now))
+        {
+            const time_point end = std::max(it->second.ends_at, it->second.trial_until);
+            decision.admitted = false;
+            decision.retry_after = std::max(config_.trial_step, end - now);
+            decision.reports.clear();
+            return decision;
+        }
+        tried.push_back(&it->second);
+        const std::string_view number(reinterpret_cast<const char*>(&trials_), sizeof trials_);
+        decision.reports.push_back(
+            {part_report::type::trial, part.hash, hash64(number, self_), millis{0}});
+    }
+    for (entry* part : tried)
+    {
+        part->trial_until = now + config_.trial_duration;
+        part->trial = decision.reports.front().event;
+    }
+    trials_ += tried.empty() ? 0 : 1;
+    return decision;
+}
+
+std::vector<part_report> prompt_quarantine::reminders(time_point now) const
+{
+    std::vector<part_report> reports;
+    for (auto it = entries_.begin(); it != entries_.end(); ++it)
+    {
+        std::size_t count = 0;
+        for (auto crash = it->second.crashes.begin();
+             it->second.reached_at && crash != it->second.crashes.end() && count < max_reminders;
+             ++crash)
+        {
+            if (crash->second > it->second.served_at)
+            {
+                reports.push_back(
+                    {part_report::type::crashed, it->first, crash->first, now - crash->second});
+                ++count;
+            }
+        }
+    }
+    return reports;
+}
+
+void prompt_quarantine::expire(time_point now)
+{
+    for (auto it = entries_.begin(); it != entries_.end();)
+    {
+        std::erase_if(it->second.crashes,
+                      [&](const std::pair<const std::uint64_t, time_point>& crash)
+                      { return now - crash.second > config_.max_duration; });
+        update_reached(it->second, now);
+        it = it->second.crashes.empty() ? entries_.erase(it) : std::next(it);
+    }
+}
+
+std::size_t prompt_quarantine::quarantined(time_point now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(entries_.begin(), entries_.end(),
+                      [&](const std::pair<const std::uint64_t, entry>& part)
+                      { return !part.second.proven && has_settled(part.second, now); }));
+}
+
+} // namespace endivestage
--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -3,6 +3,8 @@
 #include <endivestage/daemon/logging.hpp>
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <utility>
 
 namespace endivestage::serving
@@ -43,6 +45,41 @@
 /// Retry delay when endpoints refuse requests; they must complete some of their work first.
 constexpr millis retry_after_overload{250};
 
+std::string join_hashes(std::span<const prompt_part> parts)
+{
+    std::string text;
+    for (const prompt_part& part : parts)
+    {
+        text += (text.empty() ? "" : ",") + std::to_string(part.hash);
+    }
+    return text;
+}
+
+// A connection can end although its engine is well, so an engine counts as crashed only if its host
+// refuses a new connection. No answer may as well be the network's fault.
+awaitable<void> report_crash(boost::asio::any_io_executor executor, router_state& state,
+                             endpoint_record engine, std::vector<prompt_part> parts)
+{
+    const time_point broken_at = state.time.now();
+    daemon::http_connection probe(std::move(executor));
+    daemon::network_address address{engine.host, engine.port};
+    const std::error_code ec =
+        co_await probe.connect(std::move(address), connect_timeout, unacknowledged_timeout);
+    if (!ec || !probe.refused())
+    {
+        co_return;
+    }
+    const std::uint64_t crash =
+        hash64(engine.id.view(), static_cast<std::uint64_t>(engine.started_at));
+    const time_point now = state.time.now();
+    state.announce(state.quarantine.record_crash(parts, crash, now - broken_at, now));
+    log_event(log_level::warning, "engine_crashed",
+              {{"endpoint", engine.id},
+               {"parts", join_hashes(parts)},
+               {"quarantined", state.quarantine.contains(parts, state.time.now())},
+               {"confirmed_after_ms", state.time.now() - broken_at}});
+}
+
 } // namespace
 
 exchange::exchange(boost::asio::any_io_executor executor, router_state& state, http_request request,
@@ -137,6 +174,10 @@
         co_await send_error(503, errc::shutting_down, execution::not_run, retry_after_stopping);
         co_return;
     }
+    if (co_await refuse_quarantined())
+    {
+        co_return;
+    }
     service_ = choose_target(*route_, decoded_.chat_hash.value_or(hash64(decoded_.id.view())));
     profile_ = routes_->find_service(service_);
     std::weak_ptr<exchange> weak_self = weak_from_this();
@@ -156,6 +197,26 @@
     co_await try_endpoints();
 }
 
+awaitable<bool> exchange::refuse_quarantined()
+{
+    const quarantine_decision decision =
+        state_.quarantine.admit(decoded_.shared_prompt, state_.routers.size(), state_.time.now());
+    state_.announce(decision.reports);
+    if (!decision.reports.empty())
+    {
+        log_event(log_level::warning, "prompt_tried",
+                  {{"request", decoded_.id}, {"part", decision.part}});
+    }
+    if (!decision.admitted)
+    {
+        log_event(log_level::info, "prompt_refused",
+                  {{"request", decoded_.id}, {"part", decision.part}});
+        co_await send_error(503, errc::prompt_quarantined, execution::not_run,
+                            decision.retry_after);
+    }
+    co_return !decision.admitted;
+}
+
 const endpoint_state* exchange::choose_endpoint()
 {
     const time_point now = state_.time.now();
@@ -271,6 +332,13 @@
                        ? next_step::refuse
                        : next_step::fail;
         }
+        if (step == next_step::try_another &&
+            state_.quarantine.contains(decoded_.shared_prompt, state_.time.now()))
+        {
+            step = outcome == endpoint_outcome::failed ? next_step::deliver
+                   : history_.possible_executions == 0 ? next_step::refuse
+                                                       : next_step::fail;
+        }
         if (step != next_step::try_another)
         {
             co_await finish_after_failure(step, outcome);
@@ -355,6 +423,7 @@
     log_placement(info);
     const millis max_wait = first_response_timeout(*route_, history_, time);
     ++history_.sends;
+    events_received_ = false;
     connection_->send(state_.codec.encode_request(request_, info));
     const endpoint_outcome outcome = co_await read_response(endpoint, max_wait);
     if (outcome != endpoint_outcome::shed && outcome != endpoint_outcome::misdirected)
@@ -368,11 +437,33 @@
     else
     {
         connection_->close();
+        check_for_crash(endpoint);
     }
     connection_.reset();
     co_return outcome;
 }
 
+void exchange::check_for_crash(const endpoint_record& endpoint)
+{
+    // Requests that have received events did not cause the crash: it comes with the first one.
+    if (events_received_ || caller_left_ || decoded_.shared_prompt.empty())
+    {
+        return;
+    }
+    boost::asio::co_spawn(executor_,
+                          report_crash(executor_, state_, endpoint, decoded_.shared_prompt),
+                          boost::asio::detached);
+}
+
+void exchange::record_served_prompt()
+{
+    if (std::exchange(prompt_served_, true))
+    {
+        return;
+    }
+    state_.announce(state_.quarantine.record_served(decoded_.shared_prompt, state_.time.now()));
+}
+
 void exchange::log_placement(const forwarding_info& info) const
 {
     const endpoint_state* endpoint = state_.endpoints.find(info.endpoint);
@@ -502,6 +593,10 @@
     }
     http_response response = state_.codec.encode_response(response_.head);
     response.body = std::move(response_body_);
+    if (info.success)
+    {
+        record_served_prompt();
+    }
     record_end("served", response.status);
     co_await caller_.send(std::move(response));
     co_return endpoint_outcome::served;
@@ -569,6 +664,12 @@
                 // The first event shows that the engine has processed the prompt and caches it.
                 record_prefixes(last_endpoint_);
             }
+            else
+            {
+                // The first event may have been sent by an engine that crashes on the prompt.
+                record_served_prompt();
+            }
+            events_received_ = true;
             first = false;
             const bool delivered = co_await deliver_events(std::move(events));
             if (!delivered)
@@ -583,6 +684,7 @@
             {
                 co_return endpoint_outcome::broken;
             }
+            record_served_prompt();
             record_end("served", response_.head.status);
             co_await caller_.end();
             co_return endpoint_outcome::served;
--- a/endivestage/serving/exchange.hpp
+++ b/endivestage/serving/exchange.hpp
@@ -36,10 +36,13 @@
         response_info info;
     };
 
+    daemon::awaitable<bool> refuse_quarantined();
     daemon::awaitable<void> try_endpoints();
     const endpoint_state* choose_endpoint();
     std::optional<daemon::network_address> find_copy_source(const endpoint_id& target) const;
     void record_prefixes(const endpoint_id& engine);
+    void record_served_prompt();
+    void check_for_crash(const endpoint_record& endpoint);
     daemon::awaitable<endpoint_outcome> attempt(endpoint_record endpoint);
     daemon::awaitable<bool> open_connection(endpoint_record endpoint);
     daemon::awaitable<endpoint_outcome> read_response(endpoint_record endpoint, millis max_wait);
@@ -72,6 +75,8 @@
 
     std::shared_ptr<daemon::http_connection> connection_;
     bool connection_reused_ = false;
+    bool events_received_ = false; ///< The present attempt has received an event.
+    bool prompt_served_ = false;   ///< The prompt's parts were recorded as served.
     bool caller_left_ = false;
     attempt_history history_;
     std::vector<endpoint_id> tried_;
--- a/endivestage/serving/peer_service.cpp
+++ b/endivestage/serving/peer_service.cpp
@@ -89,6 +89,49 @@
     return datagram;
 }
 
+/// First byte of a datagram with reports about parts of prompts.
+constexpr char part_reports_tag = 'Q';
+constexpr std::size_t part_report_bytes = 21;
+constexpr std::size_t max_part_reports_per_datagram = 50;
+
+std::string encode_part_reports(std::span<const part_report> reports)
+{
+    std::string datagram(1 + reports.size() * part_report_bytes, part_reports_tag);
+    std::size_t position = 1;
+    for (const part_report& report : reports)
+    {
+        const std::int64_t max_age = std::numeric_limits<std::uint32_t>::max();
+        boost::endian::store_little_u64(bytes_at(datagram, position), report.part);
+        boost::endian::store_little_u64(bytes_at(datagram, position + 8), report.event);
+        boost::endian::store_little_u32(
+            bytes_at(datagram, position + 16),
+            static_cast<std::uint32_t>(std::clamp<std::int64_t>(report.age.count, 0, max_age)));
+        datagram[position + 20] = static_cast<char>(report.kind);
+        position += part_report_bytes;
+    }
+    return datagram;
+}
+
+std::vector<part_report> decode_part_reports(std::string_view datagram)
+{
+    std::vector<part_report> reports;
+    for (std::size_t n = 1; n + part_report_bytes <= datagram.size(); n += part_report_bytes)
+    {
+        const std::uint8_t kind = static_cast<std::uint8_t>(datagram[n + 20]);
+        if (kind > static_cast<std::uint8_t>(part_report::type::trial))
+        {
+            continue;
+        }
+        part_report report;
+        report.kind = static_cast<part_report::type>(kind);
+        report.part = boost::endian::load_little_u64(bytes_at(datagram, n));
+        report.event = boost::endian::load_little_u64(bytes_at(datagram, n + 8));
+        report.age = millis{boost::endian::load_little_u32(bytes_at(datagram, n + 16))};
+        reports.push_back(report);
+    }
+    return reports;
+}
+
 /// A router that is considered dead may still run behind a network partition, so it keeps its share
 /// of the fleet's limits for this long.
 constexpr millis dead_router_grace_period{15000};
@@ -170,6 +213,11 @@
         handle_loads(datagram);
         return;
     }
+    if (datagram.starts_with(part_reports_tag))
+    {
+        handle_part_reports(datagram);
+        return;
+    }
     const result<packet> content = decode_packet(datagram);
     if (content)
     {
@@ -232,11 +280,10 @@
     }
 }
 
-void peer_service::gossip(std::span<const prefix_sighting> sightings)
+// Each router pushes to ln(n) + 1 peers, which reaches nearly all of them.
+std::vector<relay_peer> peer_service::choose_gossip_peers()
 {
     std::vector<relay_peer> peers = live_peers();
-    // Each router pushes to ln(n) + 1 peers. A few routers may miss a sighting, which costs them
-    // one unnecessary copy.
     const std::size_t fan_out =
         std::min(peers.size(),
                  static_cast<std::size_t>(std::log(static_cast<double>(peers.size() + 1)) + 1));
@@ -244,13 +291,47 @@
     {
         std::swap(peers[n], peers[n + random_.below(peers.size() - n)]);
     }
+    peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(fan_out), peers.end());
+    return peers;
+}
+
+// A few routers may miss a sighting, which costs them one unnecessary copy.
+void peer_service::gossip(std::span<const prefix_sighting> sightings)
+{
+    const std::vector<relay_peer> peers = choose_gossip_peers();
     for (std::size_t start = 0; start < sightings.size(); start += max_sightings_per_datagram)
     {
         const std::string datagram = encode_sightings(sightings.subspan(start).first(
             std::min(max_sightings_per_datagram, sightings.size() - start)));
-        for (std::size_t n = 0; n < fan_out; ++n)
+        for (const relay_peer& peer : peers)
+        {
+            send_datagram(peer.address.host, peer.address.port, datagram);
+        }
+    }
+}
+
+// Reports behind a quarantine are repeated, so a router that misses one gets it with the next.
+void peer_service::gossip(std::span<const part_report> reports)
+{
+    const std::vector<relay_peer> peers = choose_gossip_peers();
+    for (std::size_t start = 0; start < reports.size(); start += max_part_reports_per_datagram)
+    {
+        const std::string datagram = encode_part_reports(reports.subspan(start).first(
+            std::min(max_part_reports_per_datagram, reports.size() - start)));
+        for (const relay_peer& peer : peers)
+        {
+            send_datagram(peer.address.host, peer.address.port, datagram);
+        }
+    }
+}
+
+void peer_service::handle_part_reports(std::string_view datagram)
+{
+    for (const part_report& report : decode_part_reports(datagram))
+    {
+        if (part_report_callback_)
         {
-            send_datagram(peers[n].address.host, peers[n].address.port, datagram);
+            part_report_callback_(report);
         }
     }
 }
--- a/endivestage/serving/peer_service.hpp
+++ b/endivestage/serving/peer_service.hpp
@@ -67,6 +67,16 @@
         sighting_callback_ = std::move(callback);
     }
 
+    /// \brief Sends reports about parts of prompts to a few randomly chosen routers, which forward
+    /// those that are new to them.
+    void gossip(std::span<const part_report> reports);
+
+    /// \brief Sets the callback for each part_report received from another router.
+    void on_part_report(std::function<void(const part_report&)> callback)
+    {
+        part_report_callback_ = std::move(callback);
+    }
+
     /// \brief Sends another relay the open requests of this relay's followers, by engine.
     void send_loads(const router_id& relay, std::span<const engine_requests> loads);
 
@@ -94,6 +104,8 @@
     void handle_datagram(std::string_view datagram);
     void handle_sightings(std::string_view datagram);
     void handle_loads(std::string_view datagram);
+    void handle_part_reports(std::string_view datagram);
+    std::vector<relay_peer> choose_gossip_peers();
     void send_datagram(const std::string& host, std::uint16_t port, std::string_view datagram);
     void execute(const membership_actions& actions);
     void refresh_candidates();
@@ -111,6 +123,7 @@
     std::function<void()> change_callback_;
     std::function<void(const prefix_sighting&)> sighting_callback_;
     std::function<void(std::uint64_t, std::span<const engine_requests>)> loads_callback_;
+    std::function<void(const part_report&)> part_report_callback_;
     std::uint64_t bytes_sent_ = 0;
 };
 
--- a/endivestage/serving/router_metrics.cpp
+++ b/endivestage/serving/router_metrics.cpp
@@ -81,6 +81,9 @@
               values.relaying ? 1.0 : 0.0);
     set_gauge("endivestage_primary", "1 while this router polls the table service for the fleet.",
               values.primary ? 1.0 : 0.0);
+    set_gauge("endivestage_quarantined_parts",
+              "Parts of prompts that are kept from engines because they crash them.",
+              static_cast<double>(values.quarantined_parts));
     set_gauge("endivestage_ready", "1 while this router takes requests.", values.ready ? 1.0 : 0.0);
     registry_.get_counter("endivestage_store_calls_total", "Calls made to the table service.")
         .raise_to(values.store_calls);
--- a/endivestage/serving/router_metrics.hpp
+++ b/endivestage/serving/router_metrics.hpp
@@ -21,8 +21,9 @@
     std::size_t endpoints = 0;
     std::size_t routers = 0;
     std::uint64_t config_version = 0;
-    std::uint64_t store_calls = 0; ///< Calls to the table service since start.
-    millis copy_age{-1};           ///< Age of the operator's table; negative before the first copy.
+    std::uint64_t store_calls = 0;     ///< Calls to the table service since start.
+    std::size_t quarantined_parts = 0; ///< Parts of prompts that are kept from engines.
+    millis copy_age{-1}; ///< Age of the operator's table; negative before the first copy.
     bool relaying = false;
     bool primary = false;
     bool ready = false;
--- a/endivestage/serving/router_state.hpp
+++ b/endivestage/serving/router_state.hpp
@@ -41,6 +41,13 @@
     stopping, ///< Was asked to stop; open requests are completed.
 };
 
+/// \brief A report that waits to be sent.
+struct queued_part_report
+{
+    part_report report;
+    time_point queued_at; ///< The report's age is as of this instant.
+};
+
 /// \brief State shared by the coroutines of one router.
 ///
 /// All of them run on one thread, since a host gives a router only a part of one core; so no lock
@@ -55,7 +62,8 @@
           start_time(t.now()),
           cold_limiter(self),
           operations_lease(b.max_revocation_delay - revocation_margin),
-          pool(t)
+          pool(t),
+          quarantine(hash64(self.view()))
     {
     }
 
@@ -81,6 +89,8 @@
     connection_pool pool;
     prefix_directory prefixes;
     std::vector<prefix_sighting> pending_sightings; ///< Sightings not yet sent to other routers.
+    prompt_quarantine quarantine;
+    std::vector<queued_part_report> pending_part_reports; ///< Not yet sent to other routers.
     endpoint_choice_config choice;
     lifecycle_state lifecycle = lifecycle_state::starting;
     std::size_t open_requests = 0;
@@ -107,6 +117,15 @@
                          bounds.max_revocation_delay - revocation_margin - lease_reserve});
     }
 
+    /// \brief Queues reports about parts of prompts for the other routers.
+    void announce(const std::vector<part_report>& reports)
+    {
+        for (const part_report& report : reports)
+        {
+            pending_part_reports.push_back({report, time.now()});
+        }
+    }
+
     cold_send_limit cold_limit_for(const service_profile& profile) const
     {
         return {profile.cold_requests_per_s,
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -28,6 +28,8 @@
 constexpr millis logged_loop_delay{100};
 /// Sightings are collected for this long, so that several share a datagram.
 constexpr millis gossip_interval{100};
+/// Routers that have started, or missed a datagram, learn of a quarantine within about this time.
+constexpr millis reminder_interval{1000};
 constexpr millis stop_poll_interval{50};
 constexpr millis join_retry_delay{300};
 /// Time after which the address responses of other routers omit a stopping router.
@@ -235,9 +237,10 @@
                 state_.pending_sightings.push_back(sighting);
             }
         });
+    peer_service_->on_part_report([this](const part_report& report) { apply_part_report(report); });
     peer_service_->on_loads([this](std::uint64_t relay, std::span<const engine_requests> loads)
                             { replication_->record_group_loads(relay, loads); });
-    asio::co_spawn(context_, gossip_sightings(), asio::detached);
+    asio::co_spawn(context_, gossip(), asio::detached);
     co_await announce_self();
 }
 
@@ -249,8 +252,9 @@
     return peers;
 }
 
-awaitable<void> server::gossip_sightings()
+awaitable<void> server::gossip()
 {
+    time_point reminded_at = time_.now();
     for (;;)
     {
         co_await daemon::sleep_for(gossip_interval);
@@ -259,6 +263,24 @@
             peer_service_->gossip(state_.pending_sightings);
             state_.pending_sightings.clear();
         }
+        const time_point now = time_.now();
+        if (now - reminded_at >= reminder_interval)
+        {
+            reminded_at = now;
+            state_.quarantine.expire(now);
+            state_.announce(state_.quarantine.reminders(now));
+        }
+        if (!state_.pending_part_reports.empty())
+        {
+            std::vector<part_report> reports;
+            for (const queued_part_report& queued : state_.pending_part_reports)
+            {
+                reports.push_back(queued.report);
+                reports.back().age = queued.report.age + (now - queued.queued_at);
+            }
+            state_.pending_part_reports.clear();
+            peer_service_->gossip(reports);
+        }
     }
 }
 
@@ -388,6 +410,18 @@
     }
 }
 
+void server::apply_part_report(const part_report& report)
+{
+    const time_point now = time_.now();
+    const std::vector<prompt_part> parts{{report.part, 0}};
+    const bool was_quarantined = state_.quarantine.contains(parts, now);
+    state_.announce(state_.quarantine.apply(report, now));
+    if (was_quarantined && !state_.quarantine.contains(parts, now))
+    {
+        log_event(log_level::info, "prompt_cleared", {{"part", report.part}});
+    }
+}
+
 void server::update_routers()
 {
     state_.routers = peer_service_->possible_routers();
@@ -402,6 +436,7 @@
     gauges.routers = state_.routers.size();
     gauges.config_version = state_.routes ? state_.routes->version() : 0;
     gauges.ready = state_.is_ready();
+    gauges.quarantined_parts = state_.quarantine.quarantined(time_.now());
     if (replication_)
     {
         gauges.copy_age = replication_->age().value_or(millis{-1});
--- a/endivestage/serving/server.hpp
+++ b/endivestage/serving/server.hpp
@@ -94,7 +94,7 @@
     daemon::awaitable<void> join_fleet();
     daemon::awaitable<void> announce_self();
     std::vector<relay_peer> with_self(std::vector<relay_peer> peers) const;
-    daemon::awaitable<void> gossip_sightings();
+    daemon::awaitable<void> gossip();
     daemon::awaitable<void> run_maintenance();
     void record_loop_delay(millis delay);
     daemon::awaitable<void> shut_down();
@@ -102,6 +102,7 @@
     void apply_operations(std::span<const replicated_row> rows);
     void apply_endpoints(std::span<const replicated_row> rows, bool settling);
     void apply_routes(route_table routes);
+    void apply_part_report(const part_report& report);
     void update_routers();
     void update_metrics();
     void update_lifecycle();
--- a/standin/platform_engine.cpp
+++ b/standin/platform_engine.cpp
@@ -55,6 +55,16 @@
     acceptor_.close(ec);
 }
 
+void platform_engine::crash()
+{
+    stop();
+    for (tcp::socket* socket : open_)
+    {
+        boost::system::error_code ec;
+        socket->close(ec);
+    }
+}
+
 std::uint16_t platform_engine::port() const
 {
     return acceptor_.local_endpoint().port();
@@ -124,6 +134,7 @@
 awaitable<void> platform_engine::serve(tcp::socket socket)
 {
     beast::flat_buffer buf;
+    open_.insert(&socket);
     for (bool open = true; open;)
     {
         http::request<http::string_body> message;
@@ -132,7 +143,7 @@
                                   asio::redirect_error(asio::use_awaitable, ec));
         if (ec)
         {
-            co_return;
+            break;
         }
         http_request request;
         request.method = std::string(message.method_string());
@@ -146,6 +157,7 @@
         engine_reply reply = respond(request);
         open = co_await send(socket, std::move(reply));
     }
+    open_.erase(&socket);
     boost::system::error_code ec;
     socket.close(ec);
 }
--- a/standin/platform_engine.hpp
+++ b/standin/platform_engine.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -47,6 +48,10 @@
     /// \brief Stops listening; open connections stay.
     void stop();
 
+    /// \brief Stops listening and closes all connections in an orderly way, also those with a
+    /// response under way.
+    void crash();
+
     std::uint16_t port() const;
 
     /// \returns The requests received so far, in order.
@@ -66,6 +71,7 @@
 
     boost::asio::io_context& context_;
     boost::asio::ip::tcp::acceptor acceptor_;
+    std::set<boost::asio::ip::tcp::socket*> open_;
     std::vector<daemon::http_request> received_;
     int abandoned_ = 0;
 };
--- /dev/null
+++ b/tests/prompt_quarantine_test.cpp
@@ -0,0 +1,354 @@
+#include <endivestage/routing.hpp>
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <set>
+
+using namespace endivestage;
+
+namespace
+{
+
+using type = part_report::type;
+
+const prompt_part common{1, 2500};
+const prompt_part sound{2, 300};
+const prompt_part deadly{3, 300};
+const std::vector<prompt_part> sound_prompt{common, sound};
+const std::vector<prompt_part> deadly_prompt{common, deadly};
+constexpr std::uint64_t self = 77;
+
+void crash(prompt_quarantine& quarantine, std::span<const prompt_part> parts, std::uint64_t first,
+           std::size_t count, time_point now)
+{
+    for (std::size_t n = 0; n < count; ++n)
+    {
+        quarantine.record_crash(parts, first + n, millis{0}, now);
+    }
+}
+
+/// Routers that exchange reports like peer_service: what is new goes to a few random routers.
+class fleet
+{
+public:
+    fleet(std::size_t routers, std::uint64_t seed) : random_(seed)
+    {
+        for (std::size_t n = 0; n < routers; ++n)
+        {
+            routers_.emplace_back(hash64("router-" + std::to_string(n)));
+        }
+    }
+
+    prompt_quarantine& any() { return routers_[random_.below(routers_.size())]; }
+    std::size_t size() const { return routers_.size(); }
+    seeded_random& random() { return random_; }
+    prompt_quarantine& at(std::size_t n) { return routers_[n]; }
+
+    void send(const std::vector<part_report>& reports)
+    {
+        for (const part_report& report : reports)
+        {
+            for (std::size_t n = 0; n < 5; ++n)
+            {
+                // One datagram in twenty is lost.
+                if (random_.below(20) > 0)
+                {
+                    in_flight_.push_back({random_.below(routers_.size()), report, now_});
+                }
+            }
+        }
+    }
+
+    /// Delivers what was sent before the previous step.
+    void step(time_point now)
+    {
+        now_ = now;
+        std::deque<delivery> arrived;
+        arrived.swap(in_flight_);
+        for (delivery& d : arrived)
+        {
+            d.report.age = d.report.age + (now - d.sent);
+            send(routers_[d.router].apply(d.report, now));
+        }
+        if (now.since_epoch % 1000 == 0)
+        {
+            for (prompt_quarantine& router : routers_)
+            {
+                router.expire(now);
+                send(router.reminders(now));
+            }
+        }
+    }
+
+private:
+    struct delivery
+    {
+        std::size_t router = 0;
+        part_report report;
+        time_point sent;
+    };
+
+    seeded_random random_;
+    std::deque<prompt_quarantine> routers_;
+    std::deque<delivery> in_flight_;
+    time_point now_;
+};
+
+} // namespace
+
+// Load: requests with one part crash engine after engine. Without a quarantine all engines fail.
+TEST_CASE("a part that is in flight at three crashes and never served is quarantined")
+{
+    prompt_quarantine quarantine(self);
+    crash(quarantine, deadly_prompt, 1, 2, {1000});
+    quarantine.record_served(sound_prompt, {1100});
+    REQUIRE(quarantine.admit(deadly_prompt, 1, {5000}).admitted);
+    crash(quarantine, deadly_prompt, 3, 1, {5000});
+    crash(quarantine, std::vector<prompt_part>{deadly}, 4, 1, {5000});
+    const quarantine_decision decision = quarantine.admit(deadly_prompt, 1, {5300});
+    REQUIRE_FALSE(decision.admitted);
+    REQUIRE(decision.part == deadly.hash);
+    REQUIRE(decision.retry_after > millis{0});
+    REQUIRE(quarantine.admit(sound_prompt, 1, {5300}).admitted);
+}
+
+// Guards against one crash that several routers or requests report counting as several.
+TEST_CASE("one crash counts once")
+{
+    prompt_quarantine quarantine(self);
+    for (int n = 0; n < 5; ++n)
+    {
+        quarantine.record_crash(deadly_prompt, 9, millis{0}, {1000});
+        quarantine.apply({type::crashed, deadly.hash, 9, millis{50}}, {1100});
+    }
+    REQUIRE(quarantine.admit(deadly_prompt, 1, {9000}).admitted);
+}
+
+// Load: a zone loses power and many engines fail at once. Parts in common use are in flight at each
+// of them and must not be quarantined.
+TEST_CASE("a served request within the settling time prevents the quarantine of a common part")
+{
+    prompt_quarantine quarantine(self);
+    crash(quarantine, sound_prompt, 1, 20, {1000});
+    REQUIRE(quarantine.admit(sound_prompt, 1, {1100}).admitted);
+    REQUIRE(quarantine.record_served(sound_prompt, {1200}).size() == 2);
+    REQUIRE(quarantine.admit(sound_prompt, 1, {9000}).admitted);
+}
+
+// Guards against a part that was quarantined by mistake staying so although it is served elsewhere.
+TEST_CASE("a report of a served request ends a quarantine")
+{
+    prompt_quarantine quarantine(self);
+    crash(quarantine, sound_prompt, 1, 3, {1000});
+    REQUIRE_FALSE(quarantine.admit(sound_prompt, 1, {2000}).admitted);
+    for (const prompt_part& part : sound_prompt)
+    {
+        REQUIRE(quarantine.apply({type::served, part.hash, 0, millis{100}}, {2100}).size() == 1);
+    }
+    REQUIRE(quarantine.admit(sound_prompt, 1, {2100}).admitted);
+}
+
+// Load: a chat sends prompts with a deadly part. Its history is in flight at the same crashes, and
+// its other prompts, which come less often, must still be served.
+TEST_CASE("a part that was served before is not quarantined for the crashes of a new part")
+{
+    const std::vector<prompt_part> prompt{common, sound, deadly};
+    prompt_quarantine observer(self);
+    prompt_quarantine other(self + 1);
+    other.record_served(sound_prompt, {100});
+    for (std::uint64_t n = 1; n <= 20; ++n)
+    {
+        const time_point now{1000 + static_cast<std::int64_t>(n) * 200};
+        for (const part_report& crashed : observer.record_crash(prompt, n, millis{0}, now))
+        {
+            for (const part_report& answer : other.apply(crashed, now))
+            {
+                observer.apply(answer, now);
+            }
+        }
+    }
+    REQUIRE_FALSE(observer.admit(prompt, 1, {6000}).admitted);
+    REQUIRE(observer.admit(sound_prompt, 1, {6000}).admitted);
+    REQUIRE(other.admit(sound_prompt, 1, {6000}).admitted);
+}
+
+// Load: a new chat sends nothing but prompts with a deadly part at first. Its other prompts come
+// when its history and the deadly part have been in flight at the same crashes.
+TEST_CASE("a prompt without the deadly part is served although its chat is new")
+{
+    const std::vector<prompt_part> prompt{common, sound, deadly};
+    prompt_quarantine quarantine(self);
+    quarantine.record_served(std::vector<prompt_part>{common}, {100});
+    crash(quarantine, prompt, 1, 4, {1000});
+    REQUIRE_FALSE(quarantine.admit(prompt, 1, {2000}).admitted);
+    REQUIRE(quarantine.admit(sound_prompt, 1, {2000}).admitted);
+    quarantine.record_served(sound_prompt, {2500});
+    REQUIRE_FALSE(quarantine.admit(prompt, 1, {3000}).admitted);
+    REQUIRE_FALSE(quarantine.admit(deadly_prompt, 1, {3000}).admitted);
+}
+
+// Guards against a deadly part escaping because it was served before it became deadly.
+TEST_CASE("a part that was served before is quarantined when no new part explains the crashes")
+{
+    prompt_quarantine quarantine(self);
+    quarantine.record_served(deadly_prompt, {100});
+    crash(quarantine, deadly_prompt, 1, 5, {1000});
+    REQUIRE(quarantine.admit(deadly_prompt, 1, {2000}).admitted);
+    crash(quarantine, deadly_prompt, 6, 1, {2000});
+    REQUIRE_FALSE(quarantine.admit(deadly_prompt, 1, {3000}).admitted);
+}
+
+// Guards against reports of old crashes that still circulate after the part was cleared.
+TEST_CASE("a crash before the latest served request is answered with the clearance")
+{
+    prompt_quarantine quarantine(self);
+    crash(quarantine, sound_prompt, 1, 1, {1000});
+    quarantine.record_served(sound_prompt, {2000});
+    const std::vector<part_report> answer =
+        quarantine.apply({type::crashed, common.hash, 50, millis{1500}}, {2500});
+    REQUIRE(answer == std::vector<part_report>{{type::served, common.hash, 0, millis{500}}});
+    for (std::uint64_t n = 51; n < 60; ++n)
+    {
+        quarantine.apply({type::crashed, common.hash, n, millis{1500}}, {2500});
+    }
+    REQUIRE(quarantine.admit(sound_prompt, 1, {4000}).admitted);
+}
+
+// Guards against a quarantine that never ends, and against many trials when it does.
+TEST_CASE("after its quarantine a part is tried once and then waits for the outcome")
+{
+    prompt_quarantine_config config;
+    prompt_quarantine quarantine(self, config);
+    crash(quarantine, deadly_prompt, 1, 3, {1000});
+    const time_point end = time_point{1000} + config.min_duration;
+    REQUIRE_FALSE(quarantine.admit(deadly_prompt, 1, end - millis{1}).admitted);
+    const quarantine_decision trial = quarantine.admit(deadly_prompt, 1, end);
+    REQUIRE(trial.admitted);
+    REQUIRE(trial.reports.size() == 2);
+    REQUIRE_FALSE(quarantine.admit(deadly_prompt, 1, end + millis{1}).admitted);
+    crash(quarantine, deadly_prompt, 4, 1, end + millis{100});
+    REQUIRE_FALSE(quarantine.admit(deadly_prompt, 1, end + config.min_duration).admitted);
+    REQUIRE(
+        quarantine.admit(deadly_prompt, 1, end + millis{100} + config.min_duration * 2).admitted);
+}
+
+// Load: all engines of a service fail at once and are back after seconds. Prompts in common use
+// must not be refused for longer, and the first served one ends it.
+TEST_CASE("an outage of all engines quarantines common parts for seconds only")
+{
+    prompt_quarantine_config config;
+    prompt_quarantine quarantine(self, config);
+    quarantine.record_served(sound_prompt, {500});
+    crash(quarantine, sound_prompt, 1, 20, {1000});
+    REQUIRE_FALSE(quarantine.admit(sound_prompt, 1, {2000}).admitted);
+    const time_point end = time_point{1000} + config.min_duration_if_proven;
+    REQUIRE(quarantine.admit(sound_prompt, 1, end).admitted);
+    quarantine.record_served(sound_prompt, end + millis{100});
+    REQUIRE(quarantine.admit(sound_prompt, 1, end + millis{100}).admitted);
+}
+
+// Guards against reports of crashes that arrive after a later request with the part was served.
+TEST_CASE("crashes before a served request do not count although they are reported later")
+{
+    prompt_quarantine quarantine(self);
+    quarantine.record_served(sound_prompt, {2000});
+    for (std::uint64_t n = 1; n <= 10; ++n)
+    {
+        quarantine.apply({type::crashed, sound.hash, n, millis{1500}}, {2500});
+    }
+    REQUIRE(quarantine.admit(sound_prompt, 1, {4000}).admitted);
+}
+
+// Guards against a trial that routers report to each other without end, so that none tries again.
+TEST_CASE("a trial is passed on once")
+{
+    prompt_quarantine quarantine(self);
+    crash(quarantine, deadly_prompt, 1, 3, {1000});
+    const part_report trial{type::trial, deadly.hash, 42, millis{0}};
+    REQUIRE(quarantine.apply(trial, {30000}).size() == 1);
+    for (std::int64_t now = 30000; now < 32000; now += 100)
+    {
+        REQUIRE(quarantine.apply(trial, {now}).empty());
+    }
+    REQUIRE(quarantine.admit(std::vector<prompt_part>{deadly}, 1, {32100}).admitted);
+}
+
+// Guards against reports filling the memory, and against a quarantined part being forgotten.
+TEST_CASE("reports are bounded and expire")
+{
+    prompt_quarantine_config config;
+    config.max_parts = 100;
+    prompt_quarantine quarantine(self, config);
+    for (std::uint64_t n = 0; n < 1000; ++n)
+    {
+        quarantine.record_crash(std::vector<prompt_part>{{n, 10}}, n, millis{0},
+                                {static_cast<std::int64_t>(n)});
+    }
+    REQUIRE(quarantine.size() == 100);
+    crash(quarantine, deadly_prompt, 5000, 3, {1000});
+    for (std::uint64_t n = 2000; n < 3000; ++n)
+    {
+        quarantine.record_crash(std::vector<prompt_part>{{n, 10}}, n, millis{0}, {1500});
+    }
+    REQUIRE_FALSE(quarantine.admit(deadly_prompt, 1, {1500}).admitted);
+    quarantine.expire(time_point{2000} + config.max_duration);
+    REQUIRE(quarantine.size() == 0);
+}
+
+// Load: 71 routers before 90 engines; 11 requests a second with a deadly part come at any router
+// among 220 sound ones a second, of which few share all its other parts; at second 6 a fifth of the
+// engines fails at once. At most three deadly requests may reach engines once the routers had the
+// time to hear of the fifth crash, and sound requests are not refused.
+TEST_CASE("a fleet stops sending a deadly part and keeps serving sound prompts")
+{
+    const std::uint64_t seed = GENERATE(1U, 2U, 3U, 4U, 5U, 6U, 7U, 8U);
+    CAPTURE(seed);
+    fleet f(71, seed);
+    constexpr std::int64_t step_ms = 50;
+    constexpr millis contact{4000};
+    std::uint64_t crashes = 0;
+    std::optional<time_point> fifth_crash;
+    std::size_t sent_late = 0;
+    std::size_t sound_requests = 0;
+    std::size_t sound_refused = 0;
+    for (time_point now{1000}; now < time_point{40000}; now = now + millis{step_ms})
+    {
+        f.step(now);
+        for (int n = 0; n < 11; ++n)
+        {
+            const std::vector<prompt_part> parts{{100 + f.random().below(4), 2500},
+                                                 {1000 + f.random().below(522), 6000}};
+            prompt_quarantine& router = f.any();
+            const quarantine_decision decision = router.admit(parts, f.size(), now);
+            ++sound_requests;
+            sound_refused += decision.admitted ? 0 : 1;
+            f.send(decision.reports);
+            // A fifth of the engines fails at second 6, and their requests with them.
+            const bool fails =
+                now >= time_point{6000} && now < time_point{7000} && f.random().below(5) == 0;
+            if (decision.admitted)
+            {
+                f.send(fails ? router.record_crash(parts, 500000 + f.random().below(18), millis{0},
+                                                   now)
+                             : router.record_served(parts, now));
+            }
+        }
+        if (now >= time_point{4000} && f.random().below(20) < 11)
+        {
+            const std::vector<prompt_part> parts{{100, 2500}, {1000, 6000}, {666, 1200}};
+            prompt_quarantine& router = f.any();
+            const quarantine_decision decision = router.admit(parts, f.size(), now);
+            f.send(decision.reports);
+            if (decision.admitted)
+            {
+                ++crashes;
+                f.send(router.record_crash(parts, 900000 + crashes, millis{0}, now));
+                sent_late += fifth_crash && now - *fifth_crash > contact ? 1 : 0;
+                fifth_crash = crashes == 5 ? now : fifth_crash;
+            }
+        }
+    }
+    REQUIRE(crashes >= 5);
+    REQUIRE(sent_late <= 3);
+    REQUIRE(sound_refused * 200 < sound_requests);
+}
