Refuse instead of deny unknown routes while the copy is too old

Cause: a request was looked up before the age of the copy was checked. A router that could not hear of a new route answered 404, which callers do not retry, while it answered 503 for routes that it knew. Change: the age of the copy is checked first. Before: the new case of daemon_platform_path_test fails: 404 instead of 503. After: it passes, 26 cases of 26.

--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -137,6 +137,14 @@
         co_await send_error(503, errc::store_unavailable, execution::not_run, retry_after_starting);
         co_return;
     }
+    // Without a current copy of the table, this router may not have seen that a permission was
+    // withdrawn or that a route was added, so it neither permits nor denies anything.
+    if (!state_.operations_lease.is_valid(state_.time.now()))
+    {
+        co_await send_error(503, errc::store_unavailable, execution::not_run,
+                            retry_after_stale_copy);
+        co_return;
+    }
     route_ = routes_->find(decoded_.host, decoded_.path);
     if (route_ == nullptr || route_->targets.empty())
     {
@@ -145,14 +153,6 @@
     }
     priority_ = route_->priority;
     const bool keyed = routes_->requires_keys() && !route_->anonymous;
-    // Without a current copy of the table, this router may not have seen that a permission was
-    // withdrawn, so it permits nothing.
-    if (!state_.operations_lease.is_valid(state_.time.now()))
-    {
-        co_await send_error(503, errc::store_unavailable, execution::not_run,
-                            retry_after_stale_copy);
-        co_return;
-    }
     if (keyed)
     {
         const team_access* team = routes_->find_team(decoded_.api_key);
--- a/tests/daemon_platform_path_test.cpp
+++ b/tests/daemon_platform_path_test.cpp
@@ -673,6 +673,27 @@
         });
 }
 
+// Guards against a denial of a route that was added while the router could not hear of it.
+TEST_CASE("an unknown route is refused as not run once the copy is too old")
+{
+    fleet f;
+    f.add_engine("e1", respond_ok());
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            {
+                const http_response got = co_await f.send_request("GET", "/nowhere/");
+                REQUIRE(got.status == 404);
+            }
+            f.store.faults.silent = true;
+            co_await f.pause(5000);
+            const http_response refused = co_await f.send_request("GET", "/nowhere/");
+            REQUIRE(refused.status == 503);
+            REQUIRE(refused.body.find("not_run") != std::string::npos);
+        });
+}
+
 TEST_CASE("a lost response of the store delays only the router's own row")
 {
     fleet f;
