Serve small requests under limits that are below one read

Cause: the buffer of a caller's connection was bounded by the limits of the configuration. With limits below 4 KiB the first read threw after the connection had been entered among the idle ones, so every connection failed, and the next planned stop used the pointer that was left: the process ended. Change: the buffer holds at least one read; the limits still bound heads and bodies when they are parsed. Before: the new case of daemon_http_server_test fails: no answer. Conclusion: an operator's configuration can no longer end a router this way.

--- a/endivestage/daemon/http_server.cpp
+++ b/endivestage/daemon/http_server.cpp
@@ -2,6 +2,7 @@
 #include <endivestage/daemon/logging.hpp>
 #include <endivestage/daemon/process_clock.hpp>
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -42,6 +43,8 @@
 
 using connection_stream = beast::tcp_stream;
 
+constexpr std::size_t first_read_bytes = 4096;
+
 /// Why a connection ended.
 enum class close_reason
 {
@@ -379,7 +382,6 @@
         idle[connection] = waiting;
         start_idle_timer(connection, waiting);
     }
-    constexpr std::size_t first_read_bytes = 4096;
     boost::system::error_code ec;
     std::size_t n = co_await stream.async_read_some(buf.prepare(first_read_bytes),
                                                     asio::redirect_error(asio::use_awaitable, ec));
@@ -526,7 +528,8 @@
     waiting.stream = &stream;
     waiting.timer = &idle_timer;
     waiting.accepted = time.now();
-    beast::flat_buffer buf(limits.header_bytes + limits.body_bytes);
+    // A smaller buffer would make the first read throw, whatever the limits of a request are.
+    beast::flat_buffer buf(std::max(first_read_bytes, limits.header_bytes + limits.body_bytes));
     for (;;)
     {
         std::optional<close_reason> end = co_await await_request(connection, waiting, buf);
--- a/tests/daemon_http_server_test.cpp
+++ b/tests/daemon_http_server_test.cpp
@@ -226,3 +226,21 @@
     REQUIRE(fixture.server.open_connections() == 0);
     REQUIRE(fixture.receive(silent).empty());
 }
+
+// Guards against a configuration with small limits that ends the process at the next planned stop.
+TEST_CASE("limits below one read serve small requests and survive a planned stop")
+{
+    server_fixture f;
+    daemon::http_limits limits;
+    limits.header_bytes = 1024;
+    limits.body_bytes = 1024;
+    f.server.set_limits(limits);
+    tcp::socket idle = f.connect();
+    tcp::socket caller = f.connect();
+    f.send(caller);
+    REQUIRE(f.receive(caller).find("ok") != std::string::npos);
+    f.server.close_idle();
+    f.server.stop_accepting();
+    f.send(idle);
+    REQUIRE(f.receive(idle).find("ok") != std::string::npos);
+}
