Give routers of tests addresses that no other process uses

Cause: free_port of tests/platform_fleet.hpp asked the kernel for a free port of 127.0.0.1 and released it before the router listened. Change: each test process uses a loopback address made of its number, and counts ports from 10000 on, below the range from which the kernel assigns them. Connections of other processes come from 127.0.0.1, so they take no port of that address. The test that looks for the host in the router's row looks for this address.

--- a/tests/daemon_platform_path_test.cpp
+++ b/tests/daemon_platform_path_test.cpp
@@ -707,7 +707,7 @@
                 const http_response got = co_await f.send_request("POST", "/o/");
                 REQUIRE(got.status == 200);
             }
-            REQUIRE(f.store.get("endivestage-routers", "r1").find("127.0.0.1") !=
+            REQUIRE(f.store.get("endivestage-routers", "r1").find(f.settings.host) !=
                     std::string::npos);
         });
 }
--- a/tests/daemon_run_server_test.cpp
+++ b/tests/daemon_run_server_test.cpp
@@ -16,23 +16,22 @@
 namespace
 {
 
-std::string loopback(std::uint16_t port)
+std::string unused_address()
 {
-    return "\"127.0.0.1:" + std::to_string(port) + "\"";
+    return "\"" + process_address() + ":" + std::to_string(next_port()) + "\"";
 }
 
 /// Settings of a router with no table service.
 std::string make_settings()
 {
-    asio::io_context context;
-    return R"({"router": {"name":"r1","zone":"z","region":"r","host":"127.0.0.1","peer_port":)" +
-           std::to_string(free_port(context)) + R"(,"cpu_share":0.25,"first_start":false},
+    return R"({"router": {"name":"r1","zone":"z","region":"r","host":")" + process_address() +
+           R"(","peer_port":)" + std::to_string(next_port()) +
+           R"(,"cpu_share":0.25,"first_start":false},
  "listen": {"callers":)" +
-           loopback(free_port(context)) + R"(,"readiness":)" + loopback(free_port(context)) +
-           R"(,"directory":)" + loopback(free_port(context)) + R"(,"metrics":)" +
-           loopback(free_port(context)) + R"(},
+           unused_address() + R"(,"readiness":)" + unused_address() + R"(,"directory":)" +
+           unused_address() + R"(,"metrics":)" + unused_address() + R"(},
  "platform": {"table_service":)" +
-           loopback(free_port(context)) + R"(},
+           unused_address() + R"(},
  "bounds": {"revocation_ms":5000,"config_ms":3000,"drain_ms":2500,"repeat_ratio":0.2,"repeat_window_s":10,
   "repeat_allowance":58,"cold_overshoot":1.5,"cold_slack":5,"stop_grace_s":1,"address_lifetime_s":0.5}})";
 }
--- a/tests/platform_fleet.hpp
+++ b/tests/platform_fleet.hpp
@@ -18,6 +18,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <unistd.h>
 #include <vector>
 
 namespace endivestage::test
@@ -32,11 +33,25 @@
 
 inline constexpr std::chrono::seconds test_timeout{20};
 
-inline std::uint16_t free_port(asio::io_context& context)
+/// \returns A loopback address that no other process on this machine uses; numbers of processes
+/// have up to 22 bits.
+///
+/// A port that was found free and released again can be taken before the router listens: the
+/// kernel gives it to any connection from 127.0.0.1, or again as the next free port.
+inline std::string process_address()
 {
-    asio::ip::tcp::acceptor acceptor(
-        context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return acceptor.local_endpoint().port();
+    const std::uint32_t number = static_cast<std::uint32_t>(getpid());
+    return "127." + std::to_string(128 + ((number >> 16U) & 63U)) + "." +
+           std::to_string((number >> 8U) & 255U) + "." + std::to_string(number & 255U);
+}
+
+/// \returns A port for \ref process_address that this process has not used before. It is below the
+/// range from which the kernel assigns ports.
+inline std::uint16_t next_port()
+{
+    constexpr std::uint16_t first_port = 10000;
+    static std::uint16_t used = 0;
+    return first_port + used++;
 }
 
 inline const char* const configuration = R"({"version":3,"routes":[
@@ -84,11 +99,11 @@
     {
         other = settings;
         other.name = std::move(name);
-        other.peer_port = free_port(context);
-        other.callers.port = free_port(context);
-        other.readiness.port = free_port(context);
-        other.directory.port = free_port(context);
-        other.metrics.port = free_port(context);
+        other.peer_port = next_port();
+        other.callers.port = next_port();
+        other.readiness.port = next_port();
+        other.directory.port = next_port();
+        other.metrics.port = next_port();
         std::unique_ptr<serving::server> second = std::make_unique<serving::server>(
             context, other, platform::make_adapter(context, other));
         REQUIRE_FALSE(second->start());
@@ -100,12 +115,12 @@
         settings.name = router_id("r1");
         settings.zone = zone_id("zone-a");
         settings.region = region_id("region");
-        settings.host = "127.0.0.1";
-        settings.peer_port = free_port(context);
-        settings.callers = {"127.0.0.1", free_port(context)};
-        settings.readiness = {"127.0.0.1", free_port(context)};
-        settings.directory = {"127.0.0.1", free_port(context)};
-        settings.metrics = {"127.0.0.1", free_port(context)};
+        settings.host = process_address();
+        settings.peer_port = next_port();
+        settings.callers = {settings.host, next_port()};
+        settings.readiness = {settings.host, next_port()};
+        settings.directory = {settings.host, next_port()};
+        settings.metrics = {settings.host, next_port()};
         settings.table_service = {"127.0.0.1", store.port()};
         settings.bounds.repeats.allowance = 1000;
         settings.bounds.repeats.ratio = 5.0;
