Deliver answers that arrive before their deadline and are read after it

Callers saw: a failure, or an answer of a second engine, for a request that its engine had answered in time. Cause: read_body and exchange::forward_events compared the time with the deadline before each read. When the event loop is late, for example while it applies a large configuration, the head of an answer and its body are read in one pass after the deadline: the head was accepted, and the body, which was in the buffer already, was dropped. Found by review. Change: after the deadline, up to 64 more reads collect what has arrived. Conclusion: a late event loop no longer turns an answer that is there into a failure or a repeat.

--- a/endivestage/daemon/http_connection.cpp
+++ b/endivestage/daemon/http_connection.cpp
@@ -234,17 +234,21 @@
     const process_clock time;
     const time_point deadline = time.now() + timeout;
     std::string body;
+    int late_reads = 0;
     for (;;)
     {
         const millis left = deadline - time.now();
-        if (left <= millis{0})
+        const bool late = left <= millis{0};
+        if (late && ++late_reads > max_late_reads)
         {
             co_return make_error_code(errc::deadline_exceeded);
         }
         result<std::string> part = co_await connection.read_some(left);
         if (!part)
         {
-            co_return part.error();
+            co_return late&& part.error() == errc::outcome_unknown
+                ? make_error_code(errc::deadline_exceeded)
+                : part.error();
         }
         if (part->empty())
         {
--- a/endivestage/daemon/http_connection.hpp
+++ b/endivestage/daemon/http_connection.hpp
@@ -12,6 +12,10 @@
 namespace endivestage::daemon
 {
 
+/// Reads after a deadline. They collect what arrived before it while the event loop was late; the
+/// limit ends a body whose bytes never end.
+inline constexpr int max_late_reads = 64;
+
 /// \brief A connection to one server.
 ///
 /// Errors: errc::endpoint_unavailable when no connection could be made, so that nothing was sent;
@@ -42,6 +46,7 @@
     awaitable<result<http_response>> read_head(millis timeout);
 
     /// \brief Reads the next part of the answer's body.
+    /// \param timeout Without any time left, reads what has arrived already.
     /// \returns An empty string at the end of a complete body.
     awaitable<result<std::string>> read_some(millis timeout);
 
@@ -62,7 +67,8 @@
 };
 
 /// \brief Reads an answer's body to its end.
-/// \param timeout For the whole body, however many parts it comes in.
+/// \param timeout For the whole body, however many parts it comes in. A body that has arrived by
+/// then is read to its end.
 /// \param most Larger bodies give errc::too_large.
 awaitable<result<std::string>> read_body(http_connection& connection, millis timeout,
                                          std::size_t most);
--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -631,13 +631,15 @@
 awaitable<endpoint_outcome> exchange::forward_events(time_point first_event_deadline)
 {
     bool first = true;
+    int late_reads = 0;
     for (;;)
     {
         // Bytes without an event do not prolong the wait for the first event, and a stream whose
-        // bytes never end is cut at the deadline.
+        // bytes never end is cut at the deadline. What has arrived by then is delivered, also when
+        // a delayed event loop reads it later.
         const time_point wait_until = first ? std::min(first_event_deadline, deadline_) : deadline_;
         const millis max_wait = wait_until - state_.time.now();
-        if (max_wait <= millis{0})
+        if (max_wait <= millis{0} && ++late_reads > daemon::max_late_reads)
         {
             co_return endpoint_outcome::broken;
         }
--- /dev/null
+++ b/tests/daemon_http_connection_test.cpp
@@ -0,0 +1,122 @@
+// Connections to engines, relays and the store: answers that arrive while the event loop is late.
+
+#include <endivestage/daemon/http_connection.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+#include <utility>
+
+using namespace endivestage;
+using daemon::awaitable;
+using daemon::http_request;
+using daemon::http_response;
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace
+{
+
+constexpr millis long_timeout{5000};
+
+/// A connection to a server on a plain socket, with one request sent.
+struct connection_fixture
+{
+    connection_fixture()
+        : acceptor(server_context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+          server(server_context),
+          connection(context.get_executor())
+    {
+        std::error_code failure;
+        run(
+            [&]() -> awaitable<void>
+            {
+                daemon::network_address address{"127.0.0.1", acceptor.local_endpoint().port()};
+                failure =
+                    co_await connection.connect(std::move(address), long_timeout, long_timeout);
+                connection.send(http_request{});
+            });
+        REQUIRE_FALSE(failure);
+        acceptor.accept(server);
+    }
+
+    void respond(const std::string& text) { asio::write(server, asio::buffer(text)); }
+
+    /// Runs the steps to their end.
+    template <class Steps>
+    void run(Steps steps)
+    {
+        bool done = false;
+        asio::co_spawn(
+            context,
+            [&]() -> awaitable<void>
+            {
+                co_await steps();
+                done = true;
+            },
+            asio::detached);
+        run_until(done);
+    }
+
+    void run_until(const bool& done)
+    {
+        for (int n = 0; n < 400 && !done; ++n)
+        {
+            context.restart();
+            context.run_for(std::chrono::milliseconds(5));
+        }
+        REQUIRE(done);
+    }
+
+    asio::io_context server_context;
+    asio::io_context context;
+    tcp::acceptor acceptor;
+    tcp::socket server;
+    daemon::http_connection connection;
+};
+
+/// Reads an answer's head in time and its body when the time is over.
+result<std::string> read_body_late(connection_fixture& f, const std::string& answer)
+{
+    f.respond(answer);
+    result<std::string> body = make_error_code(errc::cancelled);
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            const result<http_response> head = co_await f.connection.read_head(long_timeout);
+            if (head)
+            {
+                body = co_await daemon::read_body(f.connection, millis{-1}, 1U << 20U);
+            }
+        });
+    return body;
+}
+
+} // namespace
+
+// Guards against an answer that has arrived whole and is dropped, because the event loop was late
+// and the time was over when the head had been read.
+TEST_CASE("a body that has arrived is read after the end of its time")
+{
+    connection_fixture f;
+    const result<std::string> body =
+        read_body_late(f, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    REQUIRE(body);
+    REQUIRE(*body == "ok");
+}
+
+// Guards against a late read that waits for bytes which have not arrived.
+TEST_CASE("a body that has not arrived whole is given up after the end of its time")
+{
+    connection_fixture f;
+    const result<std::string> body =
+        read_body_late(f, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok");
+    REQUIRE_FALSE(body);
+    REQUIRE(body.error() == errc::deadline_exceeded);
+}
--- a/tests/daemon_platform_path_test.cpp
+++ b/tests/daemon_platform_path_test.cpp
@@ -21,6 +21,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <optional>
+#include <thread>
 
 using namespace endivestage;
 using namespace endivestage::test;
@@ -803,3 +804,63 @@
             REQUIRE(f.store.lists() - lists == 1);
         });
 }
+
+namespace
+{
+
+/// Responds, and blocks the event loop before the router reads the response.
+standin::platform_engine::response_function
+respond_before_block(fleet& f, std::function<std::string(const http_request&)> make_bytes,
+                     std::chrono::milliseconds block)
+{
+    return [&f, make_bytes = std::move(make_bytes), block](const http_request& request)
+    {
+        asio::post(f.context, [block] { std::this_thread::sleep_for(block); });
+        return keep_open(make_bytes(request));
+    };
+}
+
+} // namespace
+
+// Guards against an answer that has arrived in time and is replaced by a failure, because the event
+// loop was blocked and the deadline had passed when the router read it.
+TEST_CASE("an answer that arrives while the event loop is blocked past the deadline is delivered")
+{
+    fleet f;
+    f.add_engine("e1", respond_before_block(
+                           f,
+                           [](const http_request& request)
+                           { return make_response(request, 200, "done"); },
+                           std::chrono::milliseconds(500)));
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            const http_response response = co_await f.send_request("POST", "/o/", "key-1", {}, 400);
+            REQUIRE(response.status == 200);
+            REQUIRE(response.body == "done");
+        });
+}
+
+// Guards against a stream that is sent to a second engine although its first event has arrived in
+// time, because the event loop was blocked until the wait for it was over.
+TEST_CASE("a stream whose events arrive while the event loop is blocked is not repeated")
+{
+    fleet f;
+    const standin::platform_engine::response_function respond = respond_before_block(
+        f,
+        [](const http_request& request)
+        { return make_stream_head(request) + make_event_chunk(1) + standin::last_chunk; },
+        std::chrono::milliseconds(900));
+    const standin::platform_engine& first = f.add_engine("e1", respond);
+    const standin::platform_engine& second = f.add_engine("e2", respond);
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            const http_response response = co_await f.send_request("POST", "/r/");
+            REQUIRE(response.status == 200);
+            REQUIRE(response.body.find("id: 1\n") != std::string::npos);
+        });
+    REQUIRE(first.received().size() + second.received().size() == 1);
+}
