Ignore reports of crashes that a router has forgotten

Cause: a router remembers 24 crashes of one part and forgot the oldest for each further one. A copy of the forgotten report that arrived later was new to it, took the place of the next one and was passed on to ln(n) + 1 routers, which had forgotten it as well. Change: a router that remembers as many crashes as it can accepts only those that are later than the earliest of them, by more than reports may be too young. Conclusion: reports end also where an outage of a whole service or a slow crash leaves more crashes than are remembered.

--- a/endivestage/routing/prompt_quarantine.cpp
+++ b/endivestage/routing/prompt_quarantine.cpp
@@ -137,15 +137,21 @@
     {
         return false;
     }
+    const time_point crashed_at = now - report.age;
     if (part.crashes.size() >= max_crashes)
     {
         const auto oldest = std::min_element(part.crashes.begin(), part.crashes.end(),
                                              [](const std::pair<const std::uint64_t, time_point>& a,
                                                 const std::pair<const std::uint64_t, time_point>& b)
                                              { return a.second < b.second; });
+        // Reports of forgotten crashes still arrive. Routers that took them for new ones would pass
+        // them to each other without end.
+        if (crashed_at <= oldest->second + config_.age_tolerance)
+        {
+            return false;
+        }
         part.crashes.erase(oldest);
     }
-    const time_point crashed_at = now - report.age;
     const std::optional<time_point> served_at = served_.find(report.part);
     part.crashes.emplace(report.event, crashed_at);
     part.updated_at = now;
--- a/endivestage/routing/prompt_quarantine.hpp
+++ b/endivestage/routing/prompt_quarantine.hpp
@@ -57,6 +57,8 @@
     millis trial_step{2000};
     /// How long after a clearance is repeated to routers that missed it.
     millis repeat_interval{1000};
+    /// By how much the age of a report may be too low. The time that a datagram takes is not in it.
+    millis age_tolerance{1000};
     std::size_t max_parts = 4096;   ///< Parts with reports; those with the oldest are dropped.
     std::size_t max_served = 16384; ///< Parts that are remembered as served.
 };
@@ -149,7 +151,7 @@
         std::optional<time_point> reached_at;
     };
 
-    /// Crashes that are remembered of one part; further ones prolong its quarantine no more.
+    /// Crashes that are remembered of one part, the latest ones.
     static constexpr std::size_t max_crashes = 24;
     /// Crashes of one part that are repeated to other routers.
     static constexpr std::size_t max_reminders = 8;
--- a/tests/prompt_quarantine_test.cpp
+++ b/tests/prompt_quarantine_test.cpp
@@ -43,6 +43,7 @@
     std::size_t size() const { return routers_.size(); }
     seeded_random& random() { return random_; }
     prompt_quarantine& at(std::size_t n) { return routers_[n]; }
+    std::size_t reports_in_flight() const { return in_flight_.size(); }
 
     void send(const std::vector<part_report>& reports)
     {
@@ -295,6 +296,50 @@
     REQUIRE(quarantine.size() == 0);
 }
 
+// Load: 40 engines fail within a second and no request is served until later, so there are more
+// crashes of one part than a router remembers. Guards against routers passing reports of forgotten
+// crashes to each other without end, which took hundreds of KB/s of each router.
+TEST_CASE("reports of more crashes than are remembered stop circulating")
+{
+    fleet f(71, 1);
+    const std::vector<prompt_part> parts{common};
+    for (std::size_t n = 0; n < f.size(); ++n)
+    {
+        f.at(n).record_served(parts, {500});
+    }
+    std::uint64_t crashes = 0;
+    for (time_point now{1000}; now < time_point{6000}; now = now + millis{100})
+    {
+        f.step(now);
+        for (int n = 0; n < 4 && now < time_point{2000}; ++n)
+        {
+            f.send(f.any().record_crash(parts, ++crashes, millis{0}, now));
+        }
+        // Each router passes each report on once, and repeats at most 24 a second.
+        if (now >= time_point{3000})
+        {
+            REQUIRE(f.reports_in_flight() <= f.size() * 5 * 24);
+        }
+        if (now >= time_point{3000} && now.since_epoch % 1000 == 900)
+        {
+            REQUIRE(f.reports_in_flight() == 0);
+        }
+    }
+}
+
+// Guards against a crash that is later than all remembered ones being ignored when these are many:
+// it is a trial that failed.
+TEST_CASE("a part with many crashes is quarantined again after a failed trial")
+{
+    const prompt_quarantine_config config;
+    prompt_quarantine quarantine(self, config);
+    crash(quarantine, deadly_prompt, 1, 40, {1000});
+    const time_point end = time_point{1000} + config.min_duration;
+    REQUIRE(quarantine.admit(deadly_prompt, 1, end).admitted);
+    crash(quarantine, deadly_prompt, 41, 1, end + millis{100});
+    REQUIRE_FALSE(quarantine.admit(deadly_prompt, 1, end + config.min_duration).admitted);
+}
+
 // Load: 71 routers before 90 engines; 11 requests a second with a deadly part come at any router
 // among 220 sound ones a second, of which few share all its other parts; at second 6 a fifth of the
 // engines fails at once. At most three deadly requests may reach engines once the routers had the
