Pass reports of concurrent trials on once each

Cause: a router remembered only the latest trial of a part. When two routers tried it before they had heard of each other, each of the two reports replaced the other one everywhere and was passed on each time, until the trials were over. Change: a router remembers all trials of a part that it still waits for, at most 16. Before: the new cases "several trials are passed on once each" and "reports of many trials are not passed on" of prompt_quarantine_test fail. After: both cases pass (18 cases, 141 assertions). Conclusion: what a trial costs does not depend on how many routers try at the same time.

--- a/endivestage/routing/prompt_quarantine.cpp
+++ b/endivestage/routing/prompt_quarantine.cpp
@@ -166,6 +166,19 @@
     return true;
 }
 
+bool prompt_quarantine::add_trial(entry& part, std::uint64_t trial, time_point until,
+                                  time_point now)
+{
+    std::erase_if(part.trials, [&](const std::pair<const std::uint64_t, time_point>& known)
+                  { return known.second <= now; });
+    if (part.trials.size() >= max_trials || !part.trials.emplace(trial, until).second)
+    {
+        return false;
+    }
+    part.trial_until = std::max(part.trial_until, until);
+    return true;
+}
+
 bool prompt_quarantine::add_served(const part_report& report, time_point now)
 {
     const time_point served_at = now - report.age;
@@ -262,13 +275,12 @@
     {
         const auto it = entries_.find(report.part);
         const time_point until = now - report.age + config_.trial_duration;
-        if (it == entries_.end() || report.event == it->second.trial || until <= now)
+        if (it == entries_.end() || until <= now)
         {
             return {};
         }
-        it->second.trial = report.event;
-        it->second.trial_until = std::max(it->second.trial_until, until);
-        return {report};
+        return add_trial(it->second, report.event, until, now) ? std::vector<part_report>{report}
+                                                               : std::vector<part_report>{};
     }
     case part_report::type::crashed:
         break;
@@ -344,8 +356,7 @@
     }
     for (entry* part : tried)
     {
-        part->trial_until = now + config_.trial_duration;
-        part->trial = decision.reports.front().event;
+        add_trial(*part, decision.reports.front().event, now + config_.trial_duration, now);
     }
     trials_ += tried.empty() ? 0 : 1;
     return decision;
--- a/endivestage/routing/prompt_quarantine.hpp
+++ b/endivestage/routing/prompt_quarantine.hpp
@@ -143,8 +143,8 @@
         time_point updated_at;                       ///< When a report was last applied.
         time_point ends_at{-1};                      ///< End of the quarantine.
         std::uint32_t failed_trials = 0;
-        std::uint64_t trial = 0; ///< Latest trial, by its identifier.
-        time_point trial_until{-1};
+        std::map<std::uint64_t, time_point> trials; ///< Until when to wait for each trial.
+        time_point trial_until{-1};                 ///< The latest of these.
         time_point repeated_at{-1000000000};
         bool proven = false; ///< A request with the part was served at some time.
         /// When the crashes since the last served request reached the minimum.
@@ -153,6 +153,8 @@
 
     /// Crashes that are remembered of one part, the latest ones.
     static constexpr std::size_t max_crashes = 24;
+    /// Trials of one part at the same time whose reports are passed on.
+    static constexpr std::size_t max_trials = 16;
     /// Crashes of one part that are repeated to other routers.
     static constexpr std::size_t max_reminders = 8;
 
@@ -179,6 +181,7 @@
     bool may_try(std::uint64_t hash, const entry& part, std::size_t routers, time_point now) const;
     bool add_crash(const part_report& report, time_point now);
     std::vector<part_report> learn_crash(const part_report& report, time_point now);
+    static bool add_trial(entry& part, std::uint64_t trial, time_point until, time_point now);
     bool add_served(const part_report& report, time_point now);
     void evict_oldest();
 
--- a/tests/prompt_quarantine_test.cpp
+++ b/tests/prompt_quarantine_test.cpp
@@ -274,6 +274,37 @@
     REQUIRE(quarantine.admit(std::vector<prompt_part>{deadly}, 1, {32100}).admitted);
 }
 
+// Load: two routers try a part before they hear of each other. Guards against each of the two reports
+// replacing the other one at every router, and being passed on each time.
+TEST_CASE("several trials are passed on once each")
+{
+    prompt_quarantine quarantine(self);
+    crash(quarantine, deadly_prompt, 1, 3, {1000});
+    const part_report first{type::trial, deadly.hash, 42, millis{0}};
+    const part_report second{type::trial, deadly.hash, 43, millis{0}};
+    REQUIRE(quarantine.apply(first, {70000}).size() == 1);
+    REQUIRE(quarantine.apply(second, {70000}).size() == 1);
+    for (std::int64_t now = 70000; now < 71000; now += 100)
+    {
+        const millis age{now - 70000};
+        REQUIRE(quarantine.apply({type::trial, deadly.hash, 42, age}, {now}).empty());
+        REQUIRE(quarantine.apply({type::trial, deadly.hash, 43, age}, {now}).empty());
+    }
+}
+
+// Guards against reports of trials filling the memory.
+TEST_CASE("reports of many trials are not passed on")
+{
+    prompt_quarantine quarantine(self);
+    crash(quarantine, deadly_prompt, 1, 3, {1000});
+    std::size_t passed_on = 0;
+    for (std::uint64_t n = 1; n <= 1000; ++n)
+    {
+        passed_on += quarantine.apply({type::trial, deadly.hash, n, millis{0}}, {70000}).size();
+    }
+    REQUIRE(passed_on < 100);
+}
+
 // Guards against reports filling the memory, and against a quarantined part being forgotten.
 TEST_CASE("reports are bounded and expire")
 {
