Derive the end of a quarantine from its crashes alone

Cause: the end of a quarantine was extended by each crash as it was learned, so it depended on the order of the reports. A router that started later, or missed reports, learned the crash of a failed trial before the others, counted it as one of the first and took the quarantine for ended; all routers are entitled to a trial by then, so each router that started sent one deadly request. For the same reason a part that turned out to have been served before kept the longer quarantine of a new one. When a part had more than eight crashes, reminders could leave out the latest. Change: find_end computes the end from the set of crashes in the order of their times, also again when a part turns out to have been served; reminders contain the latest crashes. Before: three new cases of prompt_quarantine_test fail: "a router that starts later knows when a prolonged quarantine ends", "the latest crashes are repeated to other routers", "a quarantine is shortened when its part turns out to have been served before". After: they pass (21 cases, 152 assertions). Conclusion: restarts and new routers cause no further trials during a quarantine.

--- a/endivestage/routing/prompt_quarantine.cpp
+++ b/endivestage/routing/prompt_quarantine.cpp
@@ -59,19 +59,30 @@
 }
 
 // Crashes before the end of a quarantine do not make it longer than one period after the last one:
-// they come from requests that were on their way. A later crash is a trial that failed.
-void prompt_quarantine::prolong(entry& part, time_point crashed_at) const
+// they come from requests that were on their way. A later crash is a trial that failed. The result
+// does not depend on the order in which a router learns of the crashes.
+time_point prompt_quarantine::find_end(const entry& part) const
 {
-    if (part.ends_at >= time_point{0} && crashed_at >= part.ends_at)
+    std::vector<time_point> times;
+    for (auto it = part.crashes.begin(); it != part.crashes.end(); ++it)
     {
-        ++part.failed_trials;
+        if (it->second > part.served_at)
+        {
+            times.push_back(it->second);
+        }
     }
+    std::sort(times.begin(), times.end());
     millis duration = part.proven ? config_.min_duration_if_proven : config_.min_duration;
-    for (std::uint32_t n = 0; n < part.failed_trials && duration < config_.max_duration; ++n)
+    time_point end{-1};
+    for (std::size_t n = min_crashes(part) - 1; n < times.size(); ++n)
     {
-        duration = std::min(config_.max_duration, duration * 2);
+        if (end >= time_point{0} && times[n] >= end)
+        {
+            duration = std::min(config_.max_duration, duration * 2);
+        }
+        end = std::max(end, times[n] + duration);
     }
-    part.ends_at = std::max(part.ends_at, crashed_at + duration);
+    return end;
 }
 
 bool prompt_quarantine::has_settled(const entry& part, time_point now) const
@@ -118,12 +129,10 @@
     {
         part.reached_at.reset();
         part.ends_at = time_point{-1};
-        part.failed_trials = 0;
-    }
-    else if (!part.reached_at)
-    {
-        part.reached_at = now;
+        return;
     }
+    part.reached_at = part.reached_at.value_or(now);
+    part.ends_at = std::max(part.ends_at, find_end(part));
 }
 
 bool prompt_quarantine::add_crash(const part_report& report, time_point now)
@@ -158,10 +167,6 @@
     part.proven = part.proven || served_at.has_value();
     part.served_at = std::max(part.served_at, served_at.value_or(part.served_at));
     update_reached(part, now);
-    if (part.reached_at && crashed_at > part.served_at)
-    {
-        prolong(part, crashed_at);
-    }
     evict_oldest();
     return true;
 }
@@ -191,6 +196,10 @@
     entry& part = it->second;
     const bool clears = count_crashes(part) > 0 && served_at > part.served_at;
     const bool is_new = clears || !part.proven;
+    if (!part.proven)
+    {
+        part.ends_at = time_point{-1};
+    }
     part.proven = true;
     part.served_at = std::max(part.served_at, served_at);
     part.updated_at = now;
@@ -367,18 +376,24 @@
     std::vector<part_report> reports;
     for (auto it = entries_.begin(); it != entries_.end(); ++it)
     {
-        std::size_t count = 0;
-        for (auto crash = it->second.crashes.begin();
-             it->second.reached_at && crash != it->second.crashes.end() && count < max_reminders;
-             ++crash)
+        if (!it->second.reached_at)
+        {
+            continue;
+        }
+        std::vector<part_report> crashes;
+        for (auto crash = it->second.crashes.begin(); crash != it->second.crashes.end(); ++crash)
         {
             if (crash->second > it->second.served_at)
             {
-                reports.push_back(
+                crashes.push_back(
                     {part_report::type::crashed, it->first, crash->first, now - crash->second});
-                ++count;
             }
         }
+        // The latest crashes decide when the quarantine ends.
+        std::sort(crashes.begin(), crashes.end(),
+                  [](const part_report& a, const part_report& b) { return a.age < b.age; });
+        crashes.resize(std::min(crashes.size(), max_reminders));
+        reports.insert(reports.end(), crashes.begin(), crashes.end());
     }
     return reports;
 }
--- a/endivestage/routing/prompt_quarantine.hpp
+++ b/endivestage/routing/prompt_quarantine.hpp
@@ -142,7 +142,6 @@
         time_point served_at{-1000000000};           ///< Latest request that was served.
         time_point updated_at;                       ///< When a report was last applied.
         time_point ends_at{-1};                      ///< End of the quarantine.
-        std::uint32_t failed_trials = 0;
         std::map<std::uint64_t, time_point> trials; ///< Until when to wait for each trial.
         time_point trial_until{-1};                 ///< The latest of these.
         time_point repeated_at{-1000000000};
@@ -176,7 +175,7 @@
     std::size_t min_crashes(const entry& part) const;
     bool has_settled(const entry& part, time_point now) const;
     void update_reached(entry& part, time_point now);
-    void prolong(entry& part, time_point crashed_at) const;
+    time_point find_end(const entry& part) const;
     bool blocks(const entry& part, std::span<const prompt_part> request, time_point now) const;
     bool may_try(std::uint64_t hash, const entry& part, std::size_t routers, time_point now) const;
     bool add_crash(const part_report& report, time_point now);
--- a/tests/prompt_quarantine_test.cpp
+++ b/tests/prompt_quarantine_test.cpp
@@ -233,6 +233,62 @@
         quarantine.admit(deadly_prompt, 1, end + millis{100} + config.min_duration * 2).admitted);
 }
 
+// Guards against a router that starts during a prolonged quarantine, or misses reports, taking it for
+// ended: the end must not depend on the order in which it learns of the crashes.
+TEST_CASE("a router that starts later knows when a prolonged quarantine ends")
+{
+    const prompt_quarantine_config config;
+    const std::vector<prompt_part> parts{deadly};
+    prompt_quarantine first(self, config);
+    crash(first, parts, 100, 4, {1000});
+    const time_point failed_trial = time_point{1000} + config.min_duration;
+    // Reports are in the order of their identifiers.
+    const std::uint64_t trial = GENERATE(1U, 1000U);
+    first.record_crash(parts, trial, millis{0}, failed_trial);
+    const time_point end = failed_trial + config.min_duration * 2;
+    for (const time_point started : {failed_trial + millis{1000}, end - millis{1000}})
+    {
+        prompt_quarantine later(self + 1, config);
+        for (const part_report& report : first.reminders(started))
+        {
+            later.apply(report, started);
+        }
+        REQUIRE_FALSE(later.admit(parts, 1, end - millis{1}).admitted);
+        REQUIRE(later.admit(parts, 1, end).admitted);
+    }
+}
+
+// Guards against leaving out the crash of a trial when a part had more crashes than are repeated.
+TEST_CASE("the latest crashes are repeated to other routers")
+{
+    const prompt_quarantine_config config;
+    const std::vector<prompt_part> parts{deadly};
+    prompt_quarantine first(self, config);
+    crash(first, parts, 1, 20, {1000});
+    const time_point failed_trial = time_point{1000} + config.min_duration;
+    first.record_crash(parts, 1000, millis{0}, failed_trial);
+    prompt_quarantine later(self + 1, config);
+    const time_point started = failed_trial + config.min_duration;
+    for (const part_report& report : first.reminders(started))
+    {
+        later.apply(report, started);
+    }
+    REQUIRE_FALSE(later.admit(parts, 1, started + millis{500}).admitted);
+}
+
+// Guards against a router that has just started refusing a part in common use for as long as a new
+// one: it learns that the part was served before only after the crashes.
+TEST_CASE("a quarantine is shortened when its part turns out to have been served before")
+{
+    const prompt_quarantine_config config;
+    prompt_quarantine quarantine(self, config);
+    const std::vector<prompt_part> parts{common};
+    crash(quarantine, parts, 1, 6, {1000});
+    quarantine.apply({type::served, common.hash, 0, millis{500}}, {1100});
+    REQUIRE_FALSE(quarantine.admit(parts, 1, {2000}).admitted);
+    REQUIRE(quarantine.admit(parts, 1, time_point{1000} + config.min_duration_if_proven).admitted);
+}
+
 // Load: all engines of a service fail at once and are back after seconds. Prompts in common use
 // must not be refused for longer, and the first served one ends it.
 TEST_CASE("an outage of all engines quarantines common parts for seconds only")
