Remember the crashes behind a quarantine until after its end

Cause: crashes were forgotten ten minutes after they happened, also while their part was quarantined. With one failed trial in a period, fewer than three were left after about twelve minutes; the quarantine ended unnoticed and three further crashes were needed for the next one, which began with the shortest duration again. Found by review. Change: the crashes of a quarantined part are kept until five minutes after its end, and reports of them are accepted up to an age of 100 minutes, so that routers that start during a long quarantine learn of it. Conclusion: a part that is never repaired costs one engine each ten minutes in the long run, per trial.

--- a/endivestage/routing/prompt_quarantine.cpp
+++ b/endivestage/routing/prompt_quarantine.cpp
@@ -137,7 +137,7 @@
 
 bool prompt_quarantine::add_crash(const part_report& report, time_point now)
 {
-    if (report.age > config_.max_duration)
+    if (report.age > config_.max_report_age)
     {
         return false;
     }
@@ -402,11 +402,16 @@
 {
     for (auto it = entries_.begin(); it != entries_.end();)
     {
-        std::erase_if(it->second.crashes,
-                      [&](const std::pair<const std::uint64_t, time_point>& crash)
-                      { return now - crash.second > config_.max_duration; });
-        update_reached(it->second, now);
-        it = it->second.crashes.empty() ? entries_.erase(it) : std::next(it);
+        entry& part = it->second;
+        // The duration of a quarantine follows from all crashes of its part.
+        if (!part.reached_at || now - part.ends_at >= config_.memory_after_end)
+        {
+            std::erase_if(part.crashes,
+                          [&](const std::pair<const std::uint64_t, time_point>& crash)
+                          { return now - crash.second > config_.max_duration; });
+        }
+        update_reached(part, now);
+        it = part.crashes.empty() ? entries_.erase(it) : std::next(it);
     }
 }
 
--- a/endivestage/routing/prompt_quarantine.hpp
+++ b/endivestage/routing/prompt_quarantine.hpp
@@ -51,6 +51,10 @@
     /// once.
     millis min_duration_if_proven{3000};
     millis max_duration{600000};
+    /// How long after the end of a quarantine a crash that is older than the longest duration counts.
+    millis memory_after_end{300000};
+    /// Older reports are ignored.
+    millis max_report_age{6000000};
     /// How long other routers wait for the outcome of a trial.
     millis trial_duration{2000};
     /// Interval at which more routers become entitled to a trial.
--- a/tests/prompt_quarantine_test.cpp
+++ b/tests/prompt_quarantine_test.cpp
@@ -361,6 +361,32 @@
     REQUIRE(passed_on < 100);
 }
 
+// Guards against forgetting the crashes of a part while it is quarantined: after ten minutes, three
+// further crashes of engines would be needed each time.
+TEST_CASE("a part that stays deadly costs one engine in each period of the longest duration")
+{
+    const prompt_quarantine_config config;
+    const std::vector<prompt_part> parts{deadly};
+    prompt_quarantine quarantine(self, config);
+    constexpr time_point end{6000000};
+    const time_point longest_reached{2000000};
+    std::uint64_t crashes = 0;
+    std::uint64_t late_crashes = 0;
+    for (time_point now{1000}; now < end; now = now + millis{1000})
+    {
+        quarantine.expire(now);
+        if (quarantine.admit(parts, 1, now).admitted)
+        {
+            quarantine.record_crash(parts, ++crashes, millis{0}, now);
+            late_crashes += now >= longest_reached ? 1 : 0;
+        }
+    }
+    REQUIRE(static_cast<std::int64_t>(late_crashes) <=
+            (end - longest_reached).count / config.max_duration.count + 1);
+    quarantine.expire(end + config.max_duration * 2);
+    REQUIRE(quarantine.size() == 0);
+}
+
 // Guards against reports filling the memory, and against a quarantined part being forgotten.
 TEST_CASE("reports are bounded and expire")
 {
