Read what has arrived before a client connection times out

Callers saw: 502, 504 or an answer of a second engine although the engine's answer had reached the router. Cause: connects and reads of http_connection were bounded by the timer of beast::tcp_stream, which closes the socket when its handler runs. An answer that arrives after the event loop has collected its events, while an earlier handler of the same pass blocks, is lost if the timer had expired by then. Idempotent routes wait two thirds of their latency objective only, so a block of some hundred milliseconds passes many such timers. Found by review. Change: socket_deadline looks at the socket when the timer fires. A socket that is ready gets further passes of the event loop (64 at most, so that single bytes do not prolong a read without end); otherwise the operation is cancelled and the connection closed. The timer is left running between reads, so a read of a stream sets no timer as long as the deadline stays. Sending a request is no longer bounded by the deadline of a read that was started before the first byte was written. Before: the new test fails on the former commit: the response head that was sent first is not read (errc::outcome_unknown). After: daemon_http_connection_test passes (4 cases, 22 assertions); so do daemon_endpoint_trouble_test (7 cases) and daemon_platform_path_test. Conclusion: calls to engines, relays and the store no longer lose an answer to a late timer. The connect uses the same mechanism, without a test of its own: on loopback no connect is slow enough. The cost per event was not measured.

--- a/endivestage/daemon/http_connection.cpp
+++ b/endivestage/daemon/http_connection.cpp
@@ -1,5 +1,6 @@
 #include <endivestage/daemon/http_connection.hpp>
 #include <endivestage/daemon/process_clock.hpp>
+#include <endivestage/daemon/socket_deadline.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -8,7 +9,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <chrono>
 #include <netinet/tcp.h>
 #include <optional>
 #include <utility>
@@ -34,11 +34,6 @@
 using keep_alive_interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
 using keep_alive_count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
 
-std::chrono::milliseconds to_chrono(millis d)
-{
-    return std::chrono::milliseconds(std::max<std::int64_t>(1, d.count));
-}
-
 } // namespace
 
 struct http_connection::state
@@ -53,7 +48,19 @@
     static awaitable<void> write(std::shared_ptr<state> self,
                                  std::shared_ptr<http::request<http::string_body>> message);
 
-    beast::tcp_stream stream;
+    /// Closes the connection when its time is over; \ref deadline has cancelled its operation.
+    void close_if_timed_out(const boost::system::error_code& ec)
+    {
+        deadline.stop();
+        if (ec == asio::error::operation_aborted)
+        {
+            boost::system::error_code ignored;
+            stream.socket().close(ignored);
+        }
+    }
+
+    beast::tcp_stream stream; ///< Its own timers are not used.
+    socket_deadline deadline{stream.socket()};
     beast::flat_buffer buf{receive_buffer_bytes};
     std::optional<http::response_parser<http::buffer_body>> parser;
     /// Kept between reads: filling a new buffer with zeros took half of a token event's
@@ -91,9 +98,10 @@
         boost::system::error_code ignored;
         self->stream.socket().set_option(user_timeout(static_cast<int>(silence.count)), ignored);
         self->stream.socket().set_option(tcp::no_delay(true), ignored);
-        self->stream.expires_after(to_chrono(timeout));
+        self->deadline.start(timeout, socket_deadline::direction::write);
         co_await self->stream.async_connect(tcp::endpoint(ip, address.port),
                                             asio::redirect_error(asio::use_awaitable, ec));
+        self->close_if_timed_out(ec);
     }
     self->refused = ec == asio::error::connection_refused;
     if (ec)
@@ -146,7 +154,6 @@
     }
     state_->sending = true;
     state_->send_failed = false;
-    state_->stream.expires_never();
     asio::co_spawn(state_->stream.get_executor(), state::write(state_, std::move(message)),
                    asio::detached);
 }
@@ -157,9 +164,10 @@
     self->parser.emplace();
     self->parser->body_limit(answer_limit_bytes);
     boost::system::error_code ec;
-    self->stream.expires_after(to_chrono(timeout));
+    self->deadline.start(timeout, socket_deadline::direction::read);
     co_await http::async_read_header(self->stream, self->buf, *self->parser,
                                      asio::redirect_error(asio::use_awaitable, ec));
+    self->close_if_timed_out(ec);
     if (ec)
     {
         co_return self->failure();
@@ -182,9 +190,10 @@
         self->parser->get().body().data = self->body.get();
         self->parser->get().body().size = read_buffer_bytes;
         boost::system::error_code ec;
-        self->stream.expires_after(to_chrono(timeout));
+        self->deadline.start(timeout, socket_deadline::direction::read);
         co_await http::async_read_some(self->stream, self->buf, *self->parser,
                                        asio::redirect_error(asio::use_awaitable, ec));
+        self->close_if_timed_out(ec);
         if (ec == http::error::end_of_stream)
         {
             // The end of a body without a length.
--- a/tests/daemon_http_connection_test.cpp
+++ b/tests/daemon_http_connection_test.cpp
@@ -6,11 +6,13 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 
 using namespace endivestage;
@@ -120,3 +122,55 @@
     REQUIRE_FALSE(body);
     REQUIRE(body.error() == errc::deadline_exceeded);
 }
+
+namespace
+{
+
+/// Begins to read a head, and blocks the event loop until the time for it is over.
+/// \param answer Sent before the end of the time is handled.
+result<http_response> read_head_across_block(connection_fixture& f, const std::string& answer)
+{
+    constexpr std::chrono::milliseconds timeout{200};
+    result<http_response> head = make_error_code(errc::cancelled);
+    bool done = false;
+    asio::co_spawn(
+        f.context,
+        [&]() -> awaitable<void>
+        {
+            head = co_await f.connection.read_head(millis{timeout.count()});
+            done = true;
+        },
+        asio::detached);
+    f.context.restart();
+    f.context.poll();
+    // Both timers have expired when the loop runs again, and this one is handled first.
+    asio::steady_timer earlier(f.context, std::chrono::milliseconds(1));
+    earlier.async_wait([&](const boost::system::error_code&) { f.respond(answer); });
+    std::this_thread::sleep_for(timeout + std::chrono::milliseconds(100));
+    f.run_until(done);
+    return head;
+}
+
+} // namespace
+
+// Guards against an answer that has arrived whole and is lost, because the timer of the read closed
+// the socket: the caller gets a failure, or the request is sent once more.
+TEST_CASE("an answer that arrives while a blocked event loop passes its time is read")
+{
+    connection_fixture f;
+    const result<http_response> head =
+        read_head_across_block(f, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(head.has_value());
+    REQUIRE(head->status == 200);
+    REQUIRE(f.connection.reusable());
+}
+
+// Guards against a read that its late bytes prolong without end.
+TEST_CASE("an answer that has arrived in part is given up at the end of its time")
+{
+    connection_fixture f;
+    const result<http_response> head = read_head_across_block(f, "HTTP/1.1 200 OK\r\nContent");
+    REQUIRE_FALSE(head.has_value());
+    REQUIRE(head.error() == errc::outcome_unknown);
+    REQUIRE_FALSE(f.connection.quiet());
+}
