Read what has arrived before a request times out

Callers saw: the connection closed, without an answer or a refusal, after a whole request had been sent. Cause: a request that had begun to arrive was bounded by the timer of beast::tcp_stream, which closes the socket, also when the rest of the request arrived while the event loop was blocked. The same class of fault as the idle timer. Found by review. Change: the read is bounded by socket_deadline. A request that does not become whole is given up as before. Conclusion: no read of the server is ended by a timer that does not look at the socket. Writes still are: a caller that has taken nothing for 10 s and reads on in the very pass in which its timer is handled loses its answer.

--- a/endivestage/daemon/http_server.cpp
+++ b/endivestage/daemon/http_server.cpp
@@ -1,6 +1,7 @@
 #include <endivestage/daemon/http_server.hpp>
 #include <endivestage/daemon/logging.hpp>
 #include <endivestage/daemon/process_clock.hpp>
+#include <endivestage/daemon/socket_deadline.hpp>
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -263,8 +264,8 @@
     static awaitable<void> serve(std::shared_ptr<state> self, connection_stream stream);
     void log_close(connection_stream& stream, close_reason reason, std::uint64_t handled) const;
     awaitable<close_reason> serve_requests(connection_stream& stream, std::uint64_t& handled);
-    awaitable<std::optional<close_reason>> handle(connection_stream& stream,
-                                                  beast::flat_buffer& buf);
+    awaitable<std::optional<close_reason>>
+    handle(connection_stream& stream, socket_deadline& deadline, beast::flat_buffer& buf);
     awaitable<void> refuse(connection_stream& stream, int status, errc code) const;
     awaitable<void> refuse_malformed(connection_stream& stream,
                                      const boost::system::error_code& ec) const;
@@ -409,6 +410,7 @@
 
 // Returns nothing when the connection may carry another request.
 awaitable<std::optional<close_reason>> http_server::state::handle(connection_stream& stream,
+                                                                  socket_deadline& deadline,
                                                                   beast::flat_buffer& buf)
 {
     const time_point received = time.now();
@@ -421,7 +423,8 @@
     parser.header_limit(static_cast<std::uint32_t>(in_force.header_bytes));
     parser.body_limit(in_force.body_bytes);
     boost::system::error_code ec;
-    stream.expires_after(std::chrono::milliseconds(in_force.request.count));
+    stream.expires_never();
+    deadline.start(in_force.request, socket_deadline::direction::read);
     co_await http::async_read_header(stream, buf, parser,
                                      asio::redirect_error(asio::use_awaitable, ec));
     if (!ec && beast::iequals(parser.get()[http::field::expect], "100-continue"))
@@ -434,12 +437,12 @@
         co_await http::async_read(stream, buf, parser,
                                   asio::redirect_error(asio::use_awaitable, ec));
     }
+    deadline.stop();
     if (ec)
     {
         co_await refuse_malformed(stream, ec);
         co_return close_reason::incomplete;
     }
-    stream.expires_never();
     http::request<http::string_body> message = parser.release();
     http_request request;
     request.received = received;
@@ -524,6 +527,7 @@
     }
     const std::uint64_t connection = last_connection.fetch_add(1) + 1;
     asio::steady_timer idle_timer(stream.get_executor());
+    socket_deadline deadline(stream.socket());
     idle_connection waiting;
     waiting.stream = &stream;
     waiting.timer = &idle_timer;
@@ -535,7 +539,7 @@
         std::optional<close_reason> end = co_await await_request(connection, waiting, buf);
         if (!end)
         {
-            end = co_await handle(stream, buf);
+            end = co_await handle(stream, deadline, buf);
             ++handled;
         }
         if (end)
--- a/tests/daemon_http_server_test.cpp
+++ b/tests/daemon_http_server_test.cpp
@@ -228,6 +228,45 @@
     REQUIRE(f.handled == 2);
 }
 
+// Guards against a request that is cut while it is read, because the event loop was blocked and the
+// rest of it arrived before the loop got to the end of the time for it.
+TEST_CASE("a request whose rest arrives while a blocked event loop passes its limit is answered")
+{
+    server_fixture f;
+    constexpr std::chrono::milliseconds limit{200};
+    daemon::http_limits limits;
+    limits.request = millis{limit.count()};
+    f.server.set_limits(limits);
+    tcp::socket caller = f.connect();
+    const std::size_t half = request_text.size() / 2;
+    f.send(caller, request_text.substr(0, half));
+    run_for(f, std::chrono::milliseconds(20));
+    // Both timers have expired when the loop runs again, and this one is handled first.
+    asio::steady_timer earlier(f.context, std::chrono::milliseconds(1));
+    earlier.async_wait([&](const boost::system::error_code&)
+                       { f.send(caller, request_text.substr(half)); });
+    std::this_thread::sleep_for(limit + std::chrono::milliseconds(100));
+    REQUIRE(f.receive(caller).find("ok") != std::string::npos);
+    REQUIRE(f.handled == 1);
+}
+
+// Guards against connections that are held by requests which never become whole.
+TEST_CASE("a request that does not arrive whole within its limit is given up")
+{
+    server_fixture f;
+    daemon::http_limits limits;
+    limits.request = millis{50};
+    f.server.set_limits(limits);
+    tcp::socket caller = f.connect();
+    f.send(caller, request_text.substr(0, request_text.size() / 2));
+    for (int n = 0; n < 400 && (n < 4 || f.server.open_connections() > 0); ++n)
+    {
+        run_for(f, std::chrono::milliseconds(5));
+    }
+    REQUIRE(f.server.open_connections() == 0);
+    REQUIRE(f.handled == 0);
+}
+
 // Guards against idle connections that stay open beyond the limit, and against ones that are closed
 // although the next request has arrived.
 TEST_CASE("an idle connection is closed unless its request has arrived")
