Follow raised limits of requests on open connections

Callers saw: 413 for a request that the configuration in force allows. Cause: the buffer of a connection was sized by the limits at its acceptance. After a configuration that raises limits below 4 KiB in total, a head that is larger than the old buffer was refused on older connections. Found by review. Change: the buffer's bound is set for each request from the limits that are read for it. Before: the new test fails on the former commit: a head of 8 KiB on a connection that is older than the change gets no 200. Conclusion: limits apply to each request alike, whatever the age of its connection.

--- a/endivestage/daemon/http_server.cpp
+++ b/endivestage/daemon/http_server.cpp
@@ -46,6 +46,14 @@
 
 constexpr std::size_t first_read_bytes = 4096;
 
+/// \returns The bytes that a connection may buffer.
+/// \param held Bytes of the next request that were read under older limits.
+std::size_t buffer_bytes(const http_limits& limits, std::size_t held)
+{
+    // A smaller buffer would make a read throw, whatever the limits of a request are.
+    return held + std::max(first_read_bytes, limits.header_bytes + limits.body_bytes);
+}
+
 /// Why a connection ended.
 enum class close_reason
 {
@@ -420,6 +428,7 @@
         const std::lock_guard<std::mutex> lock(idle_mutex);
         in_force = limits;
     }
+    buf.max_size(buffer_bytes(in_force, buf.size()));
     parser.header_limit(static_cast<std::uint32_t>(in_force.header_bytes));
     parser.body_limit(in_force.body_bytes);
     boost::system::error_code ec;
@@ -532,8 +541,7 @@
     waiting.stream = &stream;
     waiting.timer = &idle_timer;
     waiting.accepted = time.now();
-    // A smaller buffer would make the first read throw, whatever the limits of a request are.
-    beast::flat_buffer buf(std::max(first_read_bytes, limits.header_bytes + limits.body_bytes));
+    beast::flat_buffer buf(buffer_bytes(limits, 0));
     for (;;)
     {
         std::optional<close_reason> end = co_await await_request(connection, waiting, buf);
--- a/tests/daemon_http_server_test.cpp
+++ b/tests/daemon_http_server_test.cpp
@@ -267,6 +267,22 @@
     REQUIRE(f.handled == 0);
 }
 
+// Guards against requests that a raised limit allows and that are refused on older connections.
+TEST_CASE("a connection that is older than a raised header limit takes requests up to it")
+{
+    server_fixture f;
+    daemon::http_limits limits;
+    limits.header_bytes = 1024;
+    limits.body_bytes = 1024;
+    f.server.set_limits(limits);
+    tcp::socket caller = connect_and_wait(f);
+    f.server.set_limits({});
+    f.send(caller,
+           "GET /x HTTP/1.1\r\nHost: t.example\r\nX-Long: " + std::string(8192, 'x') + "\r\n\r\n");
+    REQUIRE(f.receive(caller).find("200 OK") != std::string::npos);
+    REQUIRE(f.handled == 2);
+}
+
 // Guards against idle connections that stay open beyond the limit, and against ones that are closed
 // although the next request has arrived.
 TEST_CASE("an idle connection is closed unless its request has arrived")
