Try quarantined parts less often

Cause: a trial costs an engine and its streams. A first quarantine lasted 20 s, routers waited 2 s for the outcome of a trial, and each 2 s four times as many routers were entitled to one. Engines under load take longer than that until they begin to answer, so several trials ran before the first of them crashed an engine. Change: a first quarantine of a part that was never served lasts 60 s, routers wait 10 s for the outcome, and more of them become entitled each 10 s. Parts that were served before keep 3 s and 2 s, so that common parts are back soon after an outage. Conclusion: a new part that is quarantined by mistake stays so for 60 s unless it is served elsewhere.

--- a/endivestage/routing/prompt_quarantine.cpp
+++ b/endivestage/routing/prompt_quarantine.cpp
@@ -85,6 +85,16 @@
     return end;
 }
 
+millis prompt_quarantine::trial_duration(const entry& part) const
+{
+    return part.proven ? config_.trial_step_if_proven : config_.trial_duration;
+}
+
+millis prompt_quarantine::trial_step(const entry& part) const
+{
+    return part.proven ? config_.trial_step_if_proven : config_.trial_step;
+}
+
 bool prompt_quarantine::has_settled(const entry& part, time_point now) const
 {
     return part.reached_at && now - *part.reached_at >= config_.settling_time;
@@ -283,8 +293,12 @@
     case part_report::type::trial:
     {
         const auto it = entries_.find(report.part);
-        const time_point until = now - report.age + config_.trial_duration;
-        if (it == entries_.end() || until <= now)
+        if (it == entries_.end())
+        {
+            return {};
+        }
+        const time_point until = now - report.age + trial_duration(it->second);
+        if (until <= now)
         {
             return {};
         }
@@ -330,7 +344,7 @@
         return false;
     }
     const std::int64_t steps =
-        std::min<std::int64_t>((now - part.ends_at).count / config_.trial_step.count, 16);
+        std::min<std::int64_t>((now - part.ends_at).count / trial_step(part).count, 16);
     const double entitled = std::pow(4.0, static_cast<double>(steps));
     const double position = unit_hash(hash, self_);
     return position * static_cast<double>(routers) <= entitled;
@@ -354,7 +368,7 @@
         {
             const time_point end = std::max(it->second.ends_at, it->second.trial_until);
             decision.admitted = false;
-            decision.retry_after = std::max(config_.trial_step, end - now);
+            decision.retry_after = std::max(trial_step(it->second), end - now);
             decision.reports.clear();
             return decision;
         }
@@ -365,7 +379,7 @@
     }
     for (entry* part : tried)
     {
-        add_trial(*part, decision.reports.front().event, now + config_.trial_duration, now);
+        add_trial(*part, decision.reports.front().event, now + trial_duration(*part), now);
     }
     trials_ += tried.empty() ? 0 : 1;
     return decision;
--- a/endivestage/routing/prompt_quarantine.hpp
+++ b/endivestage/routing/prompt_quarantine.hpp
@@ -45,8 +45,9 @@
     /// Time for reports of served requests to arrive before a quarantine takes effect. When many
     /// engines fail at once for another reason, parts in common use are cleared within this time.
     millis settling_time{300};
-    /// Duration of a first quarantine; doubles with each trial that ends in a crash.
-    millis min_duration{20000};
+    /// Duration of a first quarantine; doubles with each trial that ends in a crash. A trial costs
+    /// an engine and all its streams.
+    millis min_duration{60000};
     /// The same for a part that was served before. All engines of a service may have failed at
     /// once.
     millis min_duration_if_proven{3000};
@@ -55,10 +56,13 @@
     millis memory_after_end{300000};
     /// Older reports are ignored.
     millis max_report_age{6000000};
-    /// How long other routers wait for the outcome of a trial.
-    millis trial_duration{2000};
+    /// How long other routers wait for the outcome of a trial. An engine under load takes seconds
+    /// until it begins to answer.
+    millis trial_duration{10000};
     /// Interval at which more routers become entitled to a trial.
-    millis trial_step{2000};
+    millis trial_step{10000};
+    /// Both for a part that was served before, which is rarely deadly.
+    millis trial_step_if_proven{2000};
     /// How long after a clearance is repeated to routers that missed it.
     millis repeat_interval{1000};
     /// By how much the age of a report may be too low. The time that a datagram takes is not in it.
@@ -177,6 +181,8 @@
 
     std::size_t count_crashes(const entry& part) const;
     std::size_t min_crashes(const entry& part) const;
+    millis trial_duration(const entry& part) const;
+    millis trial_step(const entry& part) const;
     bool has_settled(const entry& part, time_point now) const;
     void update_reached(entry& part, time_point now);
     time_point find_end(const entry& part) const;
