Test the length of a quarantine under reordered crash reports

Change: a test of all 24 orders of three crashes and a failed trial. Conclusion: the end of a quarantine follows from its crashes.

--- a/tests/prompt_quarantine_test.cpp
+++ b/tests/prompt_quarantine_test.cpp
@@ -1,5 +1,6 @@
 #include <endivestage/routing.hpp>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <deque>
 #include <set>
@@ -289,6 +290,31 @@
     REQUIRE(quarantine.admit(parts, 1, time_point{1000} + config.min_duration_if_proven).admitted);
 }
 
+// Guards against a router that starts late, hears of a failed trial before the crashes that led to
+// the quarantine, and sends another engine a deadly request while the others wait.
+TEST_CASE("a quarantine lasts equally long in whatever order its crashes are reported")
+{
+    const prompt_quarantine_config config;
+    const time_point first{1000};
+    const time_point failed_trial = first + config.min_duration + millis{100};
+    const time_point now = failed_trial + millis{2000};
+    std::vector<time_point> crashes{first, first + millis{100}, first + millis{200}, failed_trial};
+    std::vector<std::size_t> order{0, 1, 2, 3};
+    do
+    {
+        prompt_quarantine late(self, config);
+        for (const std::size_t n : order)
+        {
+            late.apply({type::crashed, deadly.hash, n + 1, now - crashes[n]}, now);
+        }
+        const time_point settled = now + config.settling_time;
+        CAPTURE(order);
+        const time_point end = failed_trial + config.min_duration * 2;
+        CHECK_FALSE(late.admit(deadly_prompt, 1, settled).admitted);
+        CHECK_FALSE(late.admit(deadly_prompt, 1, end - millis{1}).admitted);
+    } while (std::next_permutation(order.begin(), order.end()));
+}
+
 // Load: all engines of a service fail at once and are back after seconds. Prompts in common use
 // must not be refused for longer, and the first served one ends it.
 TEST_CASE("an outage of all engines quarantines common parts for seconds only")
