--- a/endivestage/routing/prompt_quarantine.cpp
+++ b/endivestage/routing/prompt_quarantine.cpp
@@ -420,8 +420,7 @@
         // The duration of a quarantine follows from all crashes of its part.
         if (!part.reached_at || now - part.ends_at >= config_.memory_after_end)
         {
-            std::erase_if(part.crashes,
-                          [&](const std::pair<const std::uint64_t, time_point>& crash)
+            std::erase_if(part.crashes, [&](const std::pair<const std::uint64_t, time_point>& crash)
                           { return now - crash.second > config_.max_duration; });
         }
         update_reached(part, now);
--- a/endivestage/routing/prompt_quarantine.hpp
+++ b/endivestage/routing/prompt_quarantine.hpp
@@ -52,7 +52,8 @@
     /// once.
     millis min_duration_if_proven{3000};
     millis max_duration{600000};
-    /// How long after the end of a quarantine a crash that is older than the longest duration counts.
+    /// How long after the end of a quarantine a crash that is older than the longest duration
+    /// counts.
     millis memory_after_end{300000};
     /// Older reports are ignored.
     millis max_report_age{6000000};
@@ -150,8 +151,8 @@
         time_point served_at{-1000000000};           ///< Latest request that was served.
         time_point updated_at;                       ///< When a report was last applied.
         time_point ends_at{-1};                      ///< End of the quarantine.
-        std::map<std::uint64_t, time_point> trials; ///< Until when to wait for each trial.
-        time_point trial_until{-1};                 ///< The latest of these.
+        std::map<std::uint64_t, time_point> trials;  ///< Until when to wait for each trial.
+        time_point trial_until{-1};                  ///< The latest of these.
         time_point repeated_at{-1000000000};
         bool proven = false; ///< A request with the part was served at some time.
         /// When the crashes since the last served request reached the minimum.
--- a/tests/prompt_quarantine_test.cpp
+++ b/tests/prompt_quarantine_test.cpp
@@ -234,8 +234,8 @@
         quarantine.admit(deadly_prompt, 1, end + millis{100} + config.min_duration * 2).admitted);
 }
 
-// Guards against a router that starts during a prolonged quarantine, or misses reports, taking it for
-// ended: the end must not depend on the order in which it learns of the crashes.
+// Guards against a router that starts during a prolonged quarantine, or misses reports, taking it
+// for ended: the end must not depend on the order in which it learns of the crashes.
 TEST_CASE("a router that starts later knows when a prolonged quarantine ends")
 {
     const prompt_quarantine_config config;
@@ -356,8 +356,8 @@
     REQUIRE(quarantine.admit(std::vector<prompt_part>{deadly}, 1, {32100}).admitted);
 }
 
-// Load: two routers try a part before they hear of each other. Guards against each of the two reports
-// replacing the other one at every router, and being passed on each time.
+// Load: two routers try a part before they hear of each other. Guards against each of the two
+// reports replacing the other one at every router, and being passed on each time.
 TEST_CASE("several trials are passed on once each")
 {
     prompt_quarantine quarantine(self);
@@ -539,8 +539,8 @@
 }
 
 // Load: engines take 3 s until they begin to answer, and requests with a deadly part come at all of
-// 71 routers for two minutes. Guards against trials that cost more engines than the budget of three,
-// because routers do not wait for the outcome or try again too soon.
+// 71 routers for two minutes. Guards against trials that cost more engines than the budget of
+// three, because routers do not wait for the outcome or try again too soon.
 TEST_CASE("trials of a deadly part stay within the budget although crashes come late")
 {
     const std::uint64_t seed = GENERATE(4U, 5U, 7U, 8U);
