Suspect prompts of which an engine sent one event before it crashed

Cause: a request that had received an event was no longer suspected, although the first event clears no part either. An engine that crashes right after its first event was neither evidence against the parts of the prompt nor for them, so requests with a deadly part reached engine after engine. Found by review. Change: a request is suspected until its parts are recorded as served, which is when the attempt receives more than the first event. Before: the new case "a prompt part that crashes engines after their first event is found as well" of daemon_prompt_quarantine_test fails for both routes where a whole first event is sent, with or without a part of the second (a sixth engine crashes); with only the head or a part of the first event it passes. After: daemon_prompt_quarantine_test passes (5 cases, 217 assertions). Conclusion: a deadly part whose engines send two or more events in separate reads before they crash still counts as served.

--- a/endivestage/routing/prompt_quarantine.hpp
+++ b/endivestage/routing/prompt_quarantine.hpp
@@ -21,7 +21,7 @@
 {
     enum class type : std::uint8_t
     {
-        crashed, ///< An engine crashed on a request with the part, before the first event.
+        crashed, ///< An engine crashed on a request with the part, before the second event.
         served,  ///< An engine answered a request with the part beyond its first event.
         trial,   ///< A router sends one request with the quarantined part.
     };
@@ -105,7 +105,7 @@
     {
     }
 
-    /// \brief Records that an engine crashed on a request before it had sent an event.
+    /// \brief Records that an engine crashed on a request before it had sent a second event.
     /// \param parts The shared parts of the request's prompt.
     /// \param crash Identifies the crash; equal for all requests that it ended, on all routers.
     /// \param age Time since the crash.
--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -423,7 +423,7 @@
     log_placement(info);
     const millis max_wait = first_response_timeout(*route_, history_, time);
     ++history_.sends;
-    events_received_ = false;
+    beyond_first_event_ = false;
     connection_->send(state_.codec.encode_request(request_, info));
     const endpoint_outcome outcome = co_await read_response(endpoint, max_wait);
     if (outcome != endpoint_outcome::shed && outcome != endpoint_outcome::misdirected)
@@ -445,8 +445,8 @@
 
 void exchange::check_for_crash(const endpoint_record& endpoint)
 {
-    // Requests that have received events did not cause the crash: it comes with the first one.
-    if (events_received_ || caller_left_ || decoded_.shared_prompt.empty())
+    // Requests that have received more than the first event did not cause the crash.
+    if (beyond_first_event_ || caller_left_ || decoded_.shared_prompt.empty())
     {
         return;
     }
@@ -669,9 +669,9 @@
             else
             {
                 // The first event may have been sent by an engine that crashes on the prompt.
+                beyond_first_event_ = true;
                 record_served_prompt();
             }
-            events_received_ = true;
             first = false;
             const bool delivered = co_await deliver_events(std::move(events));
             if (!delivered)
--- a/endivestage/serving/exchange.hpp
+++ b/endivestage/serving/exchange.hpp
@@ -75,8 +75,8 @@
 
     std::shared_ptr<daemon::http_connection> connection_;
     bool connection_reused_ = false;
-    bool events_received_ = false; ///< The present attempt has received an event.
-    bool prompt_served_ = false;   ///< The prompt's parts were recorded as served.
+    bool beyond_first_event_ = false; ///< The present attempt has received more than one event.
+    bool prompt_served_ = false;      ///< The prompt's parts were recorded as served.
     bool caller_left_ = false;
     attempt_history history_;
     std::vector<endpoint_id> tried_;
--- a/tests/daemon_prompt_quarantine_test.cpp
+++ b/tests/daemon_prompt_quarantine_test.cpp
@@ -37,10 +37,13 @@
 class crashing_pool
 {
 public:
+    /// \param last_words Makes what an engine sends before it crashes; nothing without it.
     explicit crashing_pool(fleet& f,
-                           std::function<bool(std::string_view)> crashes_on = has_deadly_part)
+                           std::function<bool(std::string_view)> crashes_on = has_deadly_part,
+                           std::function<std::string(const http_request&)> last_words = {})
         : fleet_(f),
-          crashes_on_(std::move(crashes_on))
+          crashes_on_(std::move(crashes_on)),
+          last_words_(std::move(last_words))
     {
         for (int n = 0; n < engine_count; ++n)
         {
@@ -69,14 +72,24 @@
                              standin::last_chunk);
         }
         ++crashes_;
-        fleet_.engines[index]->crash();
+        engine_reply reply{{}, millis{0}, engine_reply::connection_action::close};
+        if (last_words_)
+        {
+            fleet_.engines[index]->stop();
+            reply.pieces.push_back(last_words_(request));
+        }
+        else
+        {
+            fleet_.engines[index]->crash();
+        }
         fleet_.store.erase("servers", id);
         add_engine();
-        return {{}, millis{0}, engine_reply::connection_action::close};
+        return reply;
     }
 
     fleet& fleet_;
     std::function<bool(std::string_view)> crashes_on_;
+    std::function<std::string(const http_request&)> last_words_;
     int added_ = 0;
     int crashes_ = 0;
 };
@@ -150,6 +163,41 @@
         });
 }
 
+// Guards against a deadly part that escapes because its engines crash after they have sent the head
+// or the first event of the answer, or because a continued stream got events from its first engine.
+TEST_CASE("a prompt part that crashes engines after their first event is found as well")
+{
+    const std::string target = GENERATE("/s/", "/r/");
+    const std::string events =
+        GENERATE(std::string(), standin::make_event_chunk(1), std::string("a\r\nid: 1\ndata"),
+                 standin::make_event_chunk(1) + "a\r\nid: 2\ndata");
+    CAPTURE(target, events);
+    fleet f;
+    crashing_pool pool(f, has_deadly_part,
+                       [&](const http_request& request)
+                       { return standin::make_stream_head(request) + events; });
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            int n = 0;
+            for (int sent = 0; sent < crashes_until_known && pool.crashes() < crashes_until_known;
+                 ++sent)
+            {
+                co_await send_prompt(f, f.settings.callers, target, make_deadly_prompt(++n));
+                co_await f.pause(replacement_ms);
+            }
+            const int crashes = pool.crashes();
+            const http_response refused =
+                co_await send_prompt(f, f.settings.callers, target, make_deadly_prompt(++n));
+            REQUIRE(pool.crashes() == crashes);
+            REQUIRE(refused.body.find("not_run") != std::string::npos);
+            const http_response sound =
+                co_await send_prompt(f, f.settings.callers, target, make_prompt(++n));
+            REQUIRE(sound.status == 200);
+        });
+}
+
 // Guards against refusing sound requests of the same caller: until the engines crash, no request
 // has shown that the parts beside the deadly one are harmless.
 TEST_CASE("parts that only came beside a deadly part are not refused without it")
