Bound the reports that repeat quarantines

Cause: each router repeated up to eight crashes of every quarantined part each second. With 4,096 parts these are 12,288 reports or more, by calculation 1.3 MB/s of each of 71 routers; 20 parts already exceed the limit of a few KB/s. Found by review. Change: at most 32 reports are repeated a second, 3.4 KB/s of each of 71 routers by calculation, of all parts in turn. Before: the new case "quarantined parts are repeated a few at a time and in turn" of prompt_quarantine_test: 800 reports at once for 100 parts. Conclusion: the network cost of quarantines has a bound; with hundreds of them a new router learns of the last after a minute.

--- a/endivestage/routing/prompt_quarantine.cpp
+++ b/endivestage/routing/prompt_quarantine.cpp
@@ -385,29 +385,48 @@
     return decision;
 }
 
-std::vector<part_report> prompt_quarantine::reminders(time_point now) const
+std::vector<part_report> prompt_quarantine::list_crashes(std::uint64_t hash, const entry& part,
+                                                         time_point now)
 {
     std::vector<part_report> reports;
+    for (auto it = part.crashes.begin(); it != part.crashes.end(); ++it)
+    {
+        if (it->second > part.served_at)
+        {
+            reports.push_back({part_report::type::crashed, hash, it->first, now - it->second});
+        }
+    }
+    // The latest crashes decide when the quarantine ends.
+    std::sort(reports.begin(), reports.end(),
+              [](const part_report& a, const part_report& b) { return a.age < b.age; });
+    reports.resize(std::min(reports.size(), max_reminders));
+    return reports;
+}
+
+std::vector<part_report> prompt_quarantine::reminders(time_point now)
+{
+    // In the order of their hashes, beginning after the part that was repeated last.
+    std::vector<std::pair<std::uint64_t, const entry*>> parts;
     for (auto it = entries_.begin(); it != entries_.end(); ++it)
     {
-        if (!it->second.reached_at)
+        if (it->second.reached_at)
         {
-            continue;
+            parts.emplace_back(it->first - last_reminded_ - 1, &it->second);
         }
-        std::vector<part_report> crashes;
-        for (auto crash = it->second.crashes.begin(); crash != it->second.crashes.end(); ++crash)
+    }
+    std::sort(parts.begin(), parts.end());
+    const std::uint64_t start = last_reminded_ + 1;
+    std::vector<part_report> reports;
+    for (const std::pair<std::uint64_t, const entry*>& part : parts)
+    {
+        const std::vector<part_report> crashes =
+            list_crashes(start + part.first, *part.second, now);
+        if (reports.size() + crashes.size() > config_.max_reminders_at_once)
         {
-            if (crash->second > it->second.served_at)
-            {
-                crashes.push_back(
-                    {part_report::type::crashed, it->first, crash->first, now - crash->second});
-            }
+            break;
         }
-        // The latest crashes decide when the quarantine ends.
-        std::sort(crashes.begin(), crashes.end(),
-                  [](const part_report& a, const part_report& b) { return a.age < b.age; });
-        crashes.resize(std::min(crashes.size(), max_reminders));
         reports.insert(reports.end(), crashes.begin(), crashes.end());
+        last_reminded_ = start + part.first;
     }
     return reports;
 }
--- a/endivestage/routing/prompt_quarantine.hpp
+++ b/endivestage/routing/prompt_quarantine.hpp
@@ -68,6 +68,8 @@
     millis repeat_interval{1000};
     /// By how much the age of a report may be too low. The time that a datagram takes is not in it.
     millis age_tolerance{1000};
+    /// Reports that are repeated at once. Each takes 21 bytes and goes to up to seven routers.
+    std::size_t max_reminders_at_once = 32;
     std::size_t max_parts = 4096;   ///< Parts with reports; those with the oldest are dropped.
     std::size_t max_served = 16384; ///< Parts that are remembered as served.
 };
@@ -131,9 +133,9 @@
     quarantine_decision admit(std::span<const prompt_part> parts, std::size_t routers,
                               time_point now);
 
-    /// \returns The reports behind all quarantines, to be repeated for routers that have started
-    /// since or have missed them.
-    std::vector<part_report> reminders(time_point now) const;
+    /// \returns The reports behind some of the quarantines, the next ones with each call, to be
+    /// repeated for routers that have started since or have missed them.
+    std::vector<part_report> reminders(time_point now);
 
     /// \brief Drops reports that are too old to matter.
     void expire(time_point now);
@@ -193,11 +195,14 @@
     std::vector<part_report> learn_crash(const part_report& report, time_point now);
     static bool add_trial(entry& part, std::uint64_t trial, time_point until, time_point now);
     bool add_served(const part_report& report, time_point now);
+    static std::vector<part_report> list_crashes(std::uint64_t hash, const entry& part,
+                                                 time_point now);
     void evict_oldest();
 
     std::uint64_t self_;
     prompt_quarantine_config config_;
-    std::uint64_t trials_ = 0; ///< Trials of this router, for their identifiers.
+    std::uint64_t last_reminded_ = 0; ///< Part that was repeated last.
+    std::uint64_t trials_ = 0;        ///< Trials of this router, for their identifiers.
     std::unordered_map<std::uint64_t, entry> entries_;
     served_parts served_;
 };
--- a/tests/prompt_quarantine_test.cpp
+++ b/tests/prompt_quarantine_test.cpp
@@ -413,6 +413,30 @@
     REQUIRE(quarantine.size() == 0);
 }
 
+// Load: a caller sends prompts with many deadly parts. Guards against repeating all of them each
+// second, which takes more than the network limit of a few KB/s, and against leaving any out.
+TEST_CASE("quarantined parts are repeated a few at a time and in turn")
+{
+    prompt_quarantine quarantine(self);
+    std::vector<prompt_part> parts;
+    for (std::uint64_t n = 1; n <= 100; ++n)
+    {
+        parts.push_back({n, 10});
+    }
+    crash(quarantine, parts, 1, 10, {1000});
+    std::set<std::uint64_t> repeated;
+    for (std::int64_t second = 2; second < 52; ++second)
+    {
+        const std::vector<part_report> reports = quarantine.reminders({second * 1000});
+        REQUIRE(reports.size() <= 32);
+        for (const part_report& report : reports)
+        {
+            repeated.insert(report.part);
+        }
+    }
+    REQUIRE(repeated.size() == parts.size());
+}
+
 // Guards against reports filling the memory, and against a quarantined part being forgotten.
 TEST_CASE("reports are bounded and expire")
 {
