Bound the parts of a prompt that the quarantine regards

Cause: a header of 16 KB names up to 8,000 parts. Found by review. Change: the first 256 parts of a prompt are regarded. Before: the new case "a prompt with many parts leaves the memory of others in place" of prompt_quarantine_test finds 4,096 parts with reports after one crash. After: 256; the case passes (25 cases, 215 assertions). Conclusion: a deadly part after the 256th is not found.

--- a/endivestage/routing/prompt_quarantine.cpp
+++ b/endivestage/routing/prompt_quarantine.cpp
@@ -20,6 +20,14 @@
            static_cast<double>(std::numeric_limits<std::uint64_t>::max());
 }
 
+/// Longer prompts would displace the parts of others and take long to compare.
+constexpr std::size_t max_parts_per_prompt = 256;
+
+std::span<const prompt_part> limit_parts(std::span<const prompt_part> parts)
+{
+    return parts.first(std::min(parts.size(), max_parts_per_prompt));
+}
+
 } // namespace
 
 void prompt_quarantine::served_parts::add(std::uint64_t part, time_point at)
@@ -240,7 +248,7 @@
                                                          time_point now)
 {
     std::vector<part_report> reports;
-    for (const prompt_part& part : parts)
+    for (const prompt_part& part : limit_parts(parts))
     {
         const std::vector<part_report> learned =
             learn_crash({part_report::type::crashed, part.hash, crash, age}, now);
@@ -272,7 +280,7 @@
                                                           time_point now)
 {
     std::vector<part_report> reports;
-    for (const prompt_part& part : parts)
+    for (const prompt_part& part : limit_parts(parts))
     {
         const part_report report{part_report::type::served, part.hash, 0, millis{0}};
         if (add_served(report, now))
@@ -326,11 +334,12 @@
 
 bool prompt_quarantine::contains(std::span<const prompt_part> parts, time_point now) const
 {
-    return std::any_of(parts.begin(), parts.end(),
+    const std::span<const prompt_part> compared = limit_parts(parts);
+    return std::any_of(compared.begin(), compared.end(),
                        [&](const prompt_part& part)
                        {
                            const auto it = entries_.find(part.hash);
-                           return it != entries_.end() && blocks(it->second, parts, now);
+                           return it != entries_.end() && blocks(it->second, compared, now);
                        });
 }
 
@@ -356,10 +365,10 @@
     assert(routers > 0);
     quarantine_decision decision;
     std::vector<entry*> tried;
-    for (const prompt_part& part : parts)
+    for (const prompt_part& part : limit_parts(parts))
     {
         const auto it = entries_.find(part.hash);
-        if (it == entries_.end() || !blocks(it->second, parts, now))
+        if (it == entries_.end() || !blocks(it->second, limit_parts(parts), now))
         {
             continue;
         }
--- a/endivestage/routing/prompt_quarantine.hpp
+++ b/endivestage/routing/prompt_quarantine.hpp
@@ -95,7 +95,8 @@
 /// When a quarantine ends, a few routers send one request each before the others follow: the part
 /// is cleared if it is served, and quarantined for longer if another engine crashes.
 ///
-/// Not thread-safe. The times passed in must not decrease.
+/// Only the first 256 parts of a prompt are regarded. Not thread-safe. The times passed in must not
+/// decrease.
 class prompt_quarantine
 {
 public:
--- a/tests/prompt_quarantine_test.cpp
+++ b/tests/prompt_quarantine_test.cpp
@@ -437,6 +437,24 @@
     REQUIRE(repeated.size() == parts.size());
 }
 
+// Load: one caller lists thousands of parts in a header. Guards against them displacing what is
+// known of the parts of other callers.
+TEST_CASE("a prompt with many parts leaves the memory of others in place")
+{
+    prompt_quarantine quarantine(self);
+    quarantine.record_served(sound_prompt, {100});
+    std::vector<prompt_part> many;
+    for (std::uint64_t n = 0; n < 20000; ++n)
+    {
+        many.push_back({1000 + n, 1});
+    }
+    quarantine.record_served(many, {200});
+    quarantine.record_crash(many, 50, millis{0}, {300});
+    REQUIRE(quarantine.size() <= 256);
+    crash(quarantine, sound_prompt, 1, 3, {1000});
+    REQUIRE(quarantine.admit(sound_prompt, 1, {2000}).admitted);
+}
+
 // Guards against reports filling the memory, and against a quarantined part being forgotten.
 TEST_CASE("reports are bounded and expire")
 {
