Pass no report on that is older than three seconds

Cause: a report of a crash was passed on whenever its part was not among the remembered ones. With reports of more parts than are remembered (4,096 within ten minutes) each router takes in again what it has dropped and passes it on, until the reports expire. Found by review; the same class as reports of forgotten crashes of one part. Change: reports that are older than 3 s are applied but not passed on; quarantines are repeated by reminders anyway. Conclusion: what circulates ends within seconds whatever a router has forgotten.

--- a/endivestage/routing/prompt_quarantine.cpp
+++ b/endivestage/routing/prompt_quarantine.cpp
@@ -20,6 +20,9 @@
            static_cast<double>(std::numeric_limits<std::uint64_t>::max());
 }
 
+/// Older reports have reached all routers or come with reminders. Routers that have forgotten a
+/// part would pass its reports to each other for longer.
+constexpr millis max_forwarded_age{3000};
 /// Longer prompts would displace the parts of others and take long to compare.
 constexpr std::size_t max_parts_per_prompt = 256;
 
@@ -263,7 +266,7 @@
     const auto known = entries_.find(report.part);
     const bool was_proven = known != entries_.end() && known->second.proven;
     std::vector<part_report> reports;
-    if (add_crash(report, now))
+    if (add_crash(report, now) && report.age <= max_forwarded_age)
     {
         reports.push_back(report);
     }
--- a/tests/prompt_quarantine_test.cpp
+++ b/tests/prompt_quarantine_test.cpp
@@ -455,6 +455,26 @@
     REQUIRE(quarantine.admit(sound_prompt, 1, {2000}).admitted);
 }
 
+// Load: more parts are reported than a router remembers, so that all have forgotten some. Guards
+// against passing reports of forgotten parts to each other until they expire.
+TEST_CASE("reports of more parts than are remembered stop circulating")
+{
+    prompt_quarantine_config config;
+    config.max_parts = 100;
+    prompt_quarantine quarantine(self, config);
+    std::size_t passed_on = 0;
+    for (std::int64_t age = 0; age < 20000; age += 1000)
+    {
+        passed_on = 0;
+        for (std::uint64_t n = 0; n < 150; ++n)
+        {
+            passed_on += quarantine.apply({type::crashed, n, n, millis{age}}, {1000 + age}).size();
+        }
+        REQUIRE((age > 0 || passed_on == 150));
+    }
+    REQUIRE(passed_on == 0);
+}
+
 // Guards against reports filling the memory, and against a quarantined part being forgotten.
 TEST_CASE("reports are bounded and expire")
 {
