Store quarantines so that they outlast a restart of all routers

Cause: quarantines were in the routers' memory only. Change: the routers' table, of which every router has a copy before it serves, also holds one row for each quarantined part that was never served, with its latest crashes. About one router writes it, others later if it has not; it is written again after a failed trial and erased when the part is cleared or forgotten. Ages in a row are as of its write, so a quarantine lasts longer after a restart. After: quarantine_records_test (5 cases) and daemon_prompt_quarantine_test (7 cases) pass; the latter restarts a router with the store of another fleet: the first deadly request is refused and no engine crashes. Conclusion: costs one store call for each quarantine and one for each failed trial, and no further reads.

--- a/endivestage/routing.hpp
+++ b/endivestage/routing.hpp
@@ -11,6 +11,8 @@
 ///  - load_aggregator (routing/load_aggregator.hpp): open requests per engine over all routers
 ///  - prefix_directory (routing/prefix_directory.hpp): engines that have parts of prompts cached
 ///  - prompt_quarantine (routing/prompt_quarantine.hpp): parts of prompts that crash engines
+///  - quarantine_records (routing/quarantine_records.hpp): who stores these parts for restarts
+///  - may_act (routing/staggering.hpp): which routers do work first that any of them can do
 ///  - remote_clock, freshness_lease (routing/freshness_lease.hpp): how long table copies are valid
 #pragma once
 
@@ -21,5 +23,7 @@
 #include <endivestage/routing/load_aggregator.hpp>
 #include <endivestage/routing/prefix_directory.hpp>
 #include <endivestage/routing/prompt_quarantine.hpp>
+#include <endivestage/routing/quarantine_records.hpp>
 #include <endivestage/routing/route_table.hpp>
 #include <endivestage/routing/send_limits.hpp>
+#include <endivestage/routing/staggering.hpp>
--- a/endivestage/routing/prompt_quarantine.cpp
+++ b/endivestage/routing/prompt_quarantine.cpp
@@ -1,9 +1,8 @@
 #include <endivestage/routing/prompt_quarantine.hpp>
+#include <endivestage/routing/staggering.hpp>
 
 #include <algorithm>
 #include <cassert>
-#include <cmath>
-#include <limits>
 #include <string_view>
 
 namespace endivestage
@@ -12,17 +11,10 @@
 namespace
 {
 
-/// \returns A number from 0 to 1 that is uniform over the routers and independent between parts.
-double unit_hash(std::uint64_t part, std::uint64_t router)
-{
-    const std::string_view bytes(reinterpret_cast<const char*>(&part), sizeof part);
-    return static_cast<double>(hash64(bytes, router)) /
-           static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-}
-
 /// Older reports have reached all routers or come with reminders. Routers that have forgotten a
 /// part would pass its reports to each other for longer.
 constexpr millis max_forwarded_age{3000};
+
 /// Longer prompts would displace the parts of others and take long to compare.
 constexpr std::size_t max_parts_per_prompt = 256;
 
@@ -355,11 +347,7 @@
     {
         return false;
     }
-    const std::int64_t steps =
-        std::min<std::int64_t>((now - part.ends_at).count / trial_step(part).count, 16);
-    const double entitled = std::pow(4.0, static_cast<double>(steps));
-    const double position = unit_hash(hash, self_);
-    return position * static_cast<double>(routers) <= entitled;
+    return may_act(hash, self_, routers, (now - part.ends_at).count / trial_step(part).count);
 }
 
 quarantine_decision prompt_quarantine::admit(std::span<const prompt_part> parts,
@@ -443,6 +431,19 @@
     return reports;
 }
 
+std::vector<quarantine_record> prompt_quarantine::records(time_point now) const
+{
+    std::vector<quarantine_record> found;
+    for (auto it = entries_.begin(); it != entries_.end(); ++it)
+    {
+        if (!it->second.proven && has_settled(it->second, now))
+        {
+            found.push_back({it->first, list_crashes(it->first, it->second, now)});
+        }
+    }
+    return found;
+}
+
 void prompt_quarantine::expire(time_point now)
 {
     for (auto it = entries_.begin(); it != entries_.end();)
--- a/endivestage/routing/prompt_quarantine.hpp
+++ b/endivestage/routing/prompt_quarantine.hpp
@@ -34,6 +34,13 @@
     bool operator==(const part_report&) const = default;
 };
 
+/// \brief What is stored about a quarantined part, so that it outlasts a restart of all routers.
+struct quarantine_record
+{
+    std::uint64_t part = 0;
+    std::vector<part_report> crashes; ///< The latest ones, beginning with the last.
+};
+
 /// \brief Limits of a \ref prompt_quarantine.
 struct prompt_quarantine_config
 {
@@ -138,6 +145,9 @@
     /// repeated for routers that have started since or have missed them.
     std::vector<part_report> reminders(time_point now);
 
+    /// \returns The quarantined parts that were never served, with the crashes behind them.
+    std::vector<quarantine_record> records(time_point now) const;
+
     /// \brief Drops reports that are too old to matter.
     void expire(time_point now);
 
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -2,6 +2,7 @@
 
 #include <endivestage/daemon/logging.hpp>
 #include <endivestage/daemon/sleep.hpp>
+#include <endivestage/serving/quarantine_rows.hpp>
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -109,7 +110,8 @@
                           response.body = state_.metrics.render();
                           co_await writer.send(std::move(response));
                       }),
-      planned_stop_(to_stop_config(settings_.bounds))
+      planned_stop_(to_stop_config(settings_.bounds)),
+      quarantine_records_(hash64(settings_.name.view()))
 {
     state_.routers = {settings_.name};
     state_.random = seeded_random(
@@ -269,6 +271,7 @@
             reminded_at = now;
             state_.quarantine.expire(now);
             state_.announce(state_.quarantine.reminders(now));
+            write_quarantine_records(now);
         }
         if (!state_.pending_part_reports.empty())
         {
@@ -310,11 +313,93 @@
         apply_endpoints(rows, settling);
         break;
     case shared_table::routers:
-        peer_service_->update(rows);
+        apply_routers(rows);
         break;
     }
 }
 
+// The routers' table also has records of quarantined parts.
+void server::apply_routers(std::span<const replicated_row> rows)
+{
+    std::vector<replicated_row> routers;
+    for (const replicated_row& row : rows)
+    {
+        const std::optional<std::uint64_t> part = parse_quarantine_row_key(row.key);
+        if (part)
+        {
+            apply_quarantine_row(*part, row);
+        }
+        else
+        {
+            routers.push_back(row);
+        }
+    }
+    if (!routers.empty())
+    {
+        peer_service_->update(routers);
+    }
+}
+
+void server::apply_quarantine_row(std::uint64_t part, const replicated_row& row)
+{
+    if (row.deleted)
+    {
+        quarantine_records_.record_erased(part);
+        return;
+    }
+    const result<quarantine_record> record = decode_quarantine_row(part, row.data);
+    if (!record)
+    {
+        log_event(log_level::warning, "row_unreadable", {{"table", "routers"}, {"key", row.key}});
+        return;
+    }
+    quarantine_records_.record_stored(*record);
+    // The record may have been written long ago, which its ages do not include: after a restart of
+    // all routers a quarantine lasts longer than it would have, which is the safe side.
+    for (const part_report& crash : record->crashes)
+    {
+        state_.announce(state_.quarantine.apply(crash, time_.now()));
+    }
+}
+
+void server::write_quarantine_records(time_point now)
+{
+    if (stopping_)
+    {
+        return;
+    }
+    const std::vector<quarantine_record> known = state_.quarantine.records(now);
+    const quarantine_writes writes =
+        quarantine_records_.find_due(known, state_.routers.size(), now);
+    for (const quarantine_record& record : writes.to_store)
+    {
+        asio::co_spawn(context_, store_quarantine(record), asio::detached);
+    }
+    for (const std::uint64_t part : writes.to_erase)
+    {
+        asio::co_spawn(context_, erase_quarantine(part), asio::detached);
+    }
+}
+
+// A write that fails is tried again, by this router or by others.
+awaitable<void> server::store_quarantine(quarantine_record record)
+{
+    std::string key = quarantine_row_key(record.part);
+    std::string data = encode_quarantine_row(record);
+    const std::error_code ec =
+        co_await platform_.tables->write(shared_table::routers, std::move(key), std::move(data));
+    log_event(ec ? log_level::warning : log_level::info, "quarantine_stored",
+              {{"part", record.part}, ec});
+}
+
+awaitable<void> server::erase_quarantine(std::uint64_t part)
+{
+    std::string key = quarantine_row_key(part);
+    const std::error_code ec =
+        co_await platform_.tables->erase(shared_table::routers, std::move(key));
+    log_event(ec ? log_level::warning : log_level::info, "quarantine_erased", {{"part", part}, ec});
+}
+
 void server::apply_routes(route_table routes)
 {
     if (state_.routes && routes.version() <= state_.routes->version())
--- a/endivestage/serving/server.hpp
+++ b/endivestage/serving/server.hpp
@@ -102,6 +102,11 @@
     void apply_operations(std::span<const replicated_row> rows);
     void apply_endpoints(std::span<const replicated_row> rows, bool settling);
     void apply_routes(route_table routes);
+    void apply_routers(std::span<const replicated_row> rows);
+    void apply_quarantine_row(std::uint64_t part, const replicated_row& row);
+    void write_quarantine_records(time_point now);
+    daemon::awaitable<void> store_quarantine(quarantine_record record);
+    daemon::awaitable<void> erase_quarantine(std::uint64_t part);
     void apply_part_report(const part_report& report);
     void update_routers();
     void update_metrics();
@@ -123,6 +128,7 @@
     std::unique_ptr<replication_service> replication_;
     std::set<zone_id> zones_out_of_service_;
     planned_stop planned_stop_;
+    quarantine_records quarantine_records_;
     bool stopping_ = false;
     std::uint64_t rotation_ = 0;
 };
--- a/endivestage/serving/table_client.hpp
+++ b/endivestage/serving/table_client.hpp
@@ -19,7 +19,7 @@
 {
     operations, ///< Written by the operator: configuration, zones out of service.
     endpoints,  ///< Written by the endpoints: their own records.
-    routers,    ///< Routers and their addresses for other routers.
+    routers,    ///< Written by routers: their addresses, and quarantined parts of prompts.
 };
 
 /// \brief All values of shared_table.
--- a/tests/daemon_prompt_quarantine_test.cpp
+++ b/tests/daemon_prompt_quarantine_test.cpp
@@ -2,6 +2,7 @@
 
 #include "platform_fleet.hpp"
 
+#include <endivestage/serving/quarantine_rows.hpp>
 #include <endivestage/serving/server.hpp>
 #include <standin/platform_engine.hpp>
 
@@ -295,3 +296,72 @@
             REQUIRE(after.status == 200);
         });
 }
+
+namespace
+{
+
+const std::string deadly_row = serving::quarantine_row_key(hash64("dead"));
+
+} // namespace
+
+// Guards against a deadly part that crashes several engines anew whenever all routers restart
+// together: what they know must be in the store.
+TEST_CASE("a prompt part stays quarantined when all routers restart")
+{
+    std::string stored;
+    {
+        fleet f;
+        crashing_pool pool(f);
+        f.start_router();
+        f.run(
+            [&]() -> awaitable<void>
+            {
+                int n = 0;
+                const http_response before =
+                    co_await send_prompt(f, f.settings.callers, "/s/", make_prompt(++n));
+                REQUIRE(before.status == 200);
+                for (int sent = 0; sent < crashes_until_known; ++sent)
+                {
+                    co_await send_prompt(f, f.settings.callers, "/s/", make_deadly_prompt(++n));
+                    co_await f.pause(replacement_ms);
+                }
+                co_await f.pause(contact_ms);
+                stored = f.store.get("endivestage-routers", deadly_row);
+            });
+    }
+    REQUIRE_FALSE(stored.empty());
+    fleet f;
+    crashing_pool pool(f);
+    f.store.put("endivestage-routers", deadly_row, stored);
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            int n = 100;
+            const http_response sound =
+                co_await send_prompt(f, f.settings.callers, "/s/", make_prompt(++n));
+            REQUIRE(sound.status == 200);
+            co_await f.pause(replacement_ms * 2);
+            const http_response refused =
+                co_await send_prompt(f, f.settings.callers, "/s/", make_deadly_prompt(++n));
+            REQUIRE(pool.crashes() == 0);
+            REQUIRE(refused.body.find("not_run") != std::string::npos);
+        });
+}
+
+// Guards against a row that cannot be read ending a router, or being taken for a router.
+TEST_CASE("unreadable records of quarantines are ignored")
+{
+    const std::string data =
+        GENERATE("", "{", "{}", R"({"crashes":[1]})", R"({"crashes":[{"crash":1,"age_ms":-5}]})");
+    fleet f;
+    f.add_engine("e1", respond_ok());
+    f.store.put("endivestage-routers", deadly_row, data);
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            const http_response served = co_await f.send_request("POST", "/o/");
+            REQUIRE(served.status == 200);
+        });
+}
