Let the soak check that planned work answers each request

The soak counted only requests that an engine ran, its callers left a stopping router early, and its configurations changed nothing but keys. Change: promise answer_or_refusal: without a fault from 3 s before it, a whole request gets a response, unless its connection ended within 200 ms and no engine runs it. Delays of the soak's own process are measured and not counted. Streams that had begun and end at the route's timeout are an outcome of their own, timed_out. One in three callers keeps each connection until the router closes it, comes back to it while it accepts, and idles until routers are about to close. Planned work comes up to four at once; a stopping router gets more signals; a third of the configurations has 1,500 more routes (350 KB), all change the idle time, a third lowers the limits to 1 KB and 0.5 s. One in twelve requests takes up to 2.5 s, so engines that leave stay 5 s instead of 2.5 s, which lets leaving_engine see later requests than before. Signals are not sent before a restarted router listens. A fault is recorded when it starts and ends, not at the next poll. Before: soak_promises_test fails at the first new section with the old checker (it reports nothing and the test reads the first violation).

--- a/cmake/process_tests.cmake
+++ b/cmake/process_tests.cmake
@@ -12,7 +12,7 @@
 endforeach()
 # Fixed seeds and short phases; scripts/soak can run longer ones.
 add_test(NAME soak_short COMMAND "${CMAKE_SOURCE_DIR}/scripts/soak" --first 1 --runs 3 --jobs 3 --
-         --planned-ms 2000 --faults-ms 3000)
+         --planned-ms 5000 --faults-ms 3000)
 list(APPEND process_tests soak_short)
 set_tests_properties(${process_tests} PROPERTIES
   ENVIRONMENT "BUILD=${CMAKE_BINARY_DIR};ENDIVESTAGE_NET=${PROCESS_TEST_NET}"
--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -22,7 +22,10 @@
 constexpr millis connect_timeout{1000};
 constexpr millis idle_timeout{1000};
 constexpr millis request_timeout{4500};
+/// Routers answer at a request's deadline at the latest, and get time to deliver the answer.
+constexpr millis answer_timeout{request_timeout.count + 2000};
 constexpr millis directory_timeout{1000};
+constexpr std::size_t keeping_ratio = 3; ///< One in three callers keeps its connections.
 constexpr std::size_t max_body_bytes = 1U << 20U;
 
 struct request_template
@@ -50,6 +53,7 @@
     : context_(context),
       fleet_(fleet),
       name_("c" + std::to_string(number)),
+      keeps_connection_(number % keeping_ratio == 0),
       random_(hash64(name_, fleet.random.next()))
 {
 }
@@ -116,11 +120,16 @@
     const bool is_listed =
         std::find(addresses_.begin(), addresses_.end(), connected_to_) != addresses_.end();
     // Reuses the connection in most cases and opens a new one now and then.
-    if (connection_ && connection_->reusable() && is_listed && random_.below(5) != 0)
+    if (connection_ && connection_->reusable() &&
+        (keeps_connection_ || (is_listed && random_.below(5) != 0)))
     {
         co_return true;
     }
-    connected_to_ = addresses_[random_.below(addresses_.size())];
+    // Some callers hold on to an address that is no longer listed, as long as it accepts them.
+    if (!keeps_connection_ || !connection_ || random_.below(2) == 0)
+    {
+        connected_to_ = addresses_[random_.below(addresses_.size())];
+    }
     connection_ = std::make_shared<http_connection>(context_.get_executor());
     const std::error_code ec =
         co_await connection_->connect(connected_to_, connect_timeout, idle_timeout);
@@ -132,16 +141,21 @@
     co_return !ec;
 }
 
-awaitable<caller::exchange_result> caller::receive_events(std::string id)
+awaitable<caller::exchange_result> caller::receive_events(std::string id, time_point sent_at)
 {
     exchange_result received;
+    constexpr millis clock_resolution{1};
     std::string text;
     const bool abandons = random_.below(15) == 0;
     for (;;)
     {
-        const result<std::string> part = co_await connection_->read_some(request_timeout);
+        const result<std::string> part = co_await connection_->read_some(answer_timeout);
         if (!part)
         {
+            if (fleet_.now() - sent_at + clock_resolution >= soak_fleet::route_timeout)
+            {
+                received.outcome = caller_outcome::timed_out;
+            }
             co_return received;
         }
         if (part->empty())
@@ -168,8 +182,9 @@
 
 awaitable<caller::exchange_result> caller::receive(std::string id, request_kind kind)
 {
+    const time_point sent_at = fleet_.now();
     exchange_result received;
-    const result<http_response> head = co_await connection_->read_head(request_timeout);
+    const result<http_response> head = co_await connection_->read_head(answer_timeout);
     if (!head)
     {
         co_return received;
@@ -177,11 +192,11 @@
     const bool events = kind == request_kind::stream || kind == request_kind::resumable;
     if (events && head->status == 200)
     {
-        exchange_result streamed = co_await receive_events(id);
+        exchange_result streamed = co_await receive_events(id, sent_at);
         co_return streamed;
     }
     const result<std::string> body =
-        co_await daemon::read_body(*connection_, request_timeout, max_body_bytes);
+        co_await daemon::read_body(*connection_, answer_timeout, max_body_bytes);
     if (!body)
     {
         co_return received;
@@ -221,6 +236,12 @@
     fleet_.checker.record_sent(id, chosen.kind, key, fleet_.now());
     connection_->send(std::move(request));
     const exchange_result received = co_await receive(id, chosen.kind);
+    const time_point ended_at = fleet_.now();
+    if (received.outcome == caller_outcome::no_answer)
+    {
+        // Until a delay of this process at the end of the connection is measured.
+        co_await daemon::sleep_for(soak_fleet::observation_interval * 2);
+    }
     const bool planned_stop = router != nullptr && router->stopping;
     if (received.abandoned)
     {
@@ -229,9 +250,10 @@
     else
     {
         fleet_.checker.record_outcome(id, received.outcome, received.complete, planned_stop,
-                                      fleet_.now());
+                                      ended_at);
     }
-    if (received.outcome == caller_outcome::no_answer)
+    if (received.outcome == caller_outcome::no_answer ||
+        received.outcome == caller_outcome::timed_out)
     {
         connection_.reset();
     }
@@ -241,6 +263,20 @@
     }
 }
 
+/// Callers that keep a connection often use it again when routers are about to close it.
+millis caller::choose_pause()
+{
+    constexpr millis max_idle{1500};
+    constexpr std::int64_t router_margin_ms = 1000; // Routers wait this much longer.
+    constexpr std::int64_t spread_ms = 600;
+    if (keeps_connection_ && fleet_.idle_timeout() < max_idle && random_.below(4) == 0)
+    {
+        const millis earliest = fleet_.idle_timeout() + millis{router_margin_ms - spread_ms / 2};
+        return earliest + millis{static_cast<std::int64_t>(random_.below(spread_ms))};
+    }
+    return millis{static_cast<std::int64_t>(5 + random_.below(60))};
+}
+
 awaitable<void> caller::run(const bool& stopping)
 {
     while (!stopping)
@@ -259,7 +295,7 @@
         {
             co_await send_request();
         }
-        co_await daemon::sleep_for(millis{static_cast<std::int64_t>(5 + random_.below(60))});
+        co_await daemon::sleep_for(choose_pause());
     }
 }
 
--- a/soak/caller.hpp
+++ b/soak/caller.hpp
@@ -35,12 +35,15 @@
     daemon::awaitable<bool> connect();
     daemon::awaitable<void> send_request();
     daemon::awaitable<exchange_result> receive(std::string id, request_kind kind);
-    daemon::awaitable<exchange_result> receive_events(std::string id);
+    daemon::awaitable<exchange_result> receive_events(std::string id, time_point sent_at);
+    millis choose_pause();
     soak_router* find_router(const daemon::network_address& address);
 
     boost::asio::io_context& context_;
     soak_fleet& fleet_;
     std::string name_;
+    /// Uses each connection until the router closes it, also when the router stops.
+    bool keeps_connection_;
     seeded_random random_;
     std::vector<daemon::network_address> addresses_;
     time_point addresses_expire_at_{-1};
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -18,14 +18,16 @@
 
 constexpr millis poll_interval{50};
 constexpr millis restart_delay{300};
-/// Engines keep serving for 2 s after they announce that they leave, plus a margin of 0.5 s.
-constexpr millis engine_drain_period{2500};
+/// Engines get requests for 2 s after they announce that they leave, and complete them.
+constexpr millis engine_drain_period{5000};
+constexpr std::uint64_t repeated_signal_ratio = 20;
 constexpr std::size_t min_engines = 3;
 
-constexpr std::array all_planned_events{soak_event::stop_router, soak_event::reload,
-                                        soak_event::add_engine,  soak_event::drain_engine,
-                                        soak_event::zone_out,    soak_event::change_configuration,
-                                        soak_event::withdraw_key};
+// Changes of the configuration come twice as often as other planned operations.
+constexpr std::array all_planned_events{soak_event::stop_router,  soak_event::reload,
+                                        soak_event::add_engine,   soak_event::drain_engine,
+                                        soak_event::zone_out,     soak_event::change_configuration,
+                                        soak_event::withdraw_key, soak_event::change_configuration};
 constexpr std::array all_fault_events{
     soak_event::kill_router,        soak_event::kill_all_routers,
     soak_event::pause_router,       soak_event::store_refuses,
@@ -133,6 +135,19 @@
     return candidates.empty() ? nullptr : candidates[fleet_.random.below(candidates.size())];
 }
 
+// Callers may see the effect before the next poll of maintain_fleet.
+void event_injector::begin_fault()
+{
+    ++active_faults_;
+    fleet_.checker.record_disturbance(fleet_.now());
+}
+
+void event_injector::end_fault()
+{
+    --active_faults_;
+    fleet_.checker.record_disturbance(fleet_.now());
+}
+
 void event_injector::kill(soak_router& router)
 {
     router.stopping = false;
@@ -144,7 +159,7 @@
 awaitable<void> event_injector::stop_router()
 {
     soak_router& router = random_router();
-    if (router.stopping || router.paused || !router.process->is_running())
+    if (router.stopping || router.paused || !router.listening || !router.process->is_running())
     {
         co_return;
     }
@@ -154,6 +169,10 @@
     router.process->send_signal(SIGTERM);
     while (router.stopping && router.process->is_running())
     {
+        if (fleet_.random.below(repeated_signal_ratio) == 0)
+        {
+            router.process->send_signal(fleet_.random.below(2) == 0 ? SIGHUP : SIGTERM);
+        }
         co_await daemon::sleep_for(poll_interval);
     }
 }
@@ -163,14 +182,14 @@
     soak_router& router = random_router();
     const millis time = random_duration(300, 6500);
     log("pause_router", "router=" + router.name + " for_ms=" + std::to_string(time.count));
-    ++active_faults_;
+    begin_fault();
     router.paused = true;
     router.stopping = false;
     router.process->send_signal(SIGSTOP);
     co_await daemon::sleep_for(time);
     router.process->send_signal(SIGCONT);
     router.paused = false;
-    --active_faults_;
+    end_fault();
 }
 
 awaitable<void> event_injector::drain_engine()
@@ -199,13 +218,13 @@
         co_return;
     }
     log("engine_crash", "engine=" + engine->id);
-    ++active_faults_;
+    begin_fault();
     engine->link->set_fault(link_fault::refuse);
     co_await daemon::sleep_for(random_duration(500, 3000));
     engine->link->set_fault(link_fault::none);
     engine->incarnation += 1000000;
     fleet_.write_engine_record(*engine);
-    --active_faults_;
+    end_fault();
 }
 
 awaitable<void> event_injector::zone_out()
@@ -225,7 +244,7 @@
 {
     const millis time = random_duration(400, 5000);
     log(to_string(event), "for_ms=" + std::to_string(time.count));
-    ++active_faults_;
+    begin_fault();
     standin::store_faults& faults = fleet_.store.faults;
     switch (event)
     {
@@ -247,7 +266,7 @@
     }
     co_await daemon::sleep_for(time);
     fleet_.store.faults = {};
-    --active_faults_;
+    end_fault();
 }
 
 awaitable<void> event_injector::inject_link_fault(standin::fault_proxy& link, std::string_view name)
@@ -258,11 +277,11 @@
     const millis time = random_duration(400, 7000);
     log("link", "of=" + std::string(name) + " fault=" + std::string(standin::to_string(fault)) +
                     " for_ms=" + std::to_string(time.count));
-    ++active_faults_;
+    begin_fault();
     link.set_fault(fault, random_duration(5, 400));
     co_await daemon::sleep_for(time);
     link.set_fault(link_fault::none);
-    --active_faults_;
+    end_fault();
 }
 
 awaitable<void> event_injector::inject_response_fault()
@@ -278,11 +297,11 @@
                                    engine_behavior::silent,     engine_behavior::full};
     const std::size_t n = fleet_.random.below(behaviors.size());
     log("engine_answers", "engine=" + engine->id + " mood=" + std::to_string(n));
-    ++active_faults_;
+    begin_fault();
     engine->behavior = behaviors[n];
     co_await daemon::sleep_for(random_duration(500, 4000));
     engine->behavior = engine_behavior::normal;
-    --active_faults_;
+    end_fault();
 }
 
 void event_injector::withdraw_key()
@@ -306,9 +325,15 @@
         co_await stop_router();
         break;
     case soak_event::reload:
-        log("reload", "");
-        random_router().process->send_signal(SIGHUP);
+    {
+        soak_router& router = random_router();
+        if (router.listening)
+        {
+            log("reload", "router=" + router.name);
+            router.process->send_signal(SIGHUP);
+        }
         break;
+    }
     case soak_event::add_engine:
         log("add_engine", "");
         fleet_.add_engine(fleet_.random.below(2) == 0);
@@ -382,6 +407,20 @@
     }
 }
 
+awaitable<void> event_injector::measure_delay(const bool& stopping)
+{
+    while (!stopping)
+    {
+        const time_point due = fleet_.now() + soak_fleet::observation_interval;
+        co_await daemon::sleep_for(soak_fleet::observation_interval);
+        const millis delay = fleet_.now() - due;
+        if (delay > soak_fleet::observation_interval)
+        {
+            fleet_.checker.record_observer_delay(delay);
+        }
+    }
+}
+
 awaitable<void> event_injector::maintain_fleet(const bool& stopping)
 {
     std::map<std::string, time_point> exited_at;
@@ -397,8 +436,13 @@
         {
             if (router->process->is_running())
             {
+                if (!router->listening)
+                {
+                    router->listening = co_await is_listening(soak_fleet::caller_address(*router));
+                }
                 continue;
             }
+            router->listening = false;
             const auto [it, inserted] = exited_at.emplace(router->name, now);
             if (inserted && !router->exit_expected)
             {
--- a/soak/faults.hpp
+++ b/soak/faults.hpp
@@ -15,7 +15,7 @@
 enum class soak_event
 {
     // Planned operations.
-    stop_router, ///< SIGTERM, then a restart.
+    stop_router, ///< SIGTERM, sometimes with more signals while the router stops; then a restart.
     reload,      ///< SIGHUP.
     add_engine,
     drain_engine,
@@ -59,6 +59,11 @@
     /// \param stopping Ends the loop when it becomes true.
     daemon::awaitable<void> maintain_fleet(const bool& stopping);
 
+    /// \brief Records how late this process observes callers and engines, which is no delay of a
+    /// router.
+    /// \param stopping Ends the loop when it becomes true.
+    daemon::awaitable<void> measure_delay(const bool& stopping);
+
     /// \brief Writes one line of the run's log to standard output.
     void log(std::string_view event, std::string_view detail);
 
@@ -72,6 +77,8 @@
     daemon::awaitable<void> inject_link_fault(standin::fault_proxy& link, std::string_view name);
     daemon::awaitable<void> inject_response_fault();
     void withdraw_key();
+    void begin_fault();
+    void end_fault();
     void kill(soak_router& router);
     soak_router& random_router();
 
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -10,6 +10,7 @@
 {
 
 namespace json = boost::json;
+using daemon::awaitable;
 using daemon::http_request;
 using standin::engine_reply;
 
@@ -25,14 +26,21 @@
 constexpr millis cold_period{3000};
 constexpr int event_count_limit = 12; // Exclusive.
 
-json::object make_route(const char* name, const char* prefix, const char* type, bool resumable)
+/// Routes that no caller uses; they make the configuration about 350 KB large.
+constexpr int extra_route_count = 1500;
+/// Added to the response time of one in \ref slow_ratio requests, so that they outlast changes.
+constexpr std::uint64_t max_slow_ms = 2500;
+constexpr std::uint64_t slow_ratio = 12;
+
+json::object make_route(const std::string& name, const std::string& prefix, const char* type,
+                        bool resumable)
 {
     const bool once = std::string_view(type) == "non_idempotent";
     return {{"name", name},
             {"host", "soak.example"},
             {"path_prefix", prefix},
             {"route_type", type},
-            {"timeout_ms", 4000},
+            {"timeout_ms", soak_fleet::route_timeout.count},
             {"slo_ms", 500},
             {"priority", 1},
             {"service", "pool"},
@@ -55,6 +63,14 @@
 
 } // namespace
 
+awaitable<bool> is_listening(daemon::network_address address)
+{
+    boost::asio::any_io_executor executor = co_await boost::asio::this_coro::executor;
+    daemon::http_connection connection(executor);
+    const std::error_code ec = co_await connection.connect(address, millis{300}, millis{300});
+    co_return !ec;
+}
+
 soak_fleet::soak_fleet(boost::asio::io_context& context, soak_fleet_settings settings)
     : store(context),
       random(hash64("soak", settings.seed)),
@@ -94,6 +110,15 @@
     routes.push_back(make_route("lookup", "/i/", "idempotent", false));
     routes.push_back(make_route("stream", "/s/", "streaming", false));
     routes.push_back(make_route("resume", "/r/", "streaming", true));
+    const int extra_routes = random.below(3) == 0 ? extra_route_count : 0;
+    for (int n = 0; n < extra_routes; ++n)
+    {
+        const std::string number = std::to_string(n);
+        routes.push_back(make_route("extra-" + number, "/x/" + number + "/", "idempotent", false));
+    }
+    constexpr std::array idle_timeouts{millis{300}, millis{800}, millis{10000}};
+    idle_timeout_ = idle_timeouts[random.below(idle_timeouts.size())];
+    const bool low_limits = random.below(3) == 0;
     json::array api_keys;
     for (const std::string& key : keys)
     {
@@ -107,10 +132,10 @@
                                               {"max_conns", 100},
                                               {"cold_start_s", 3.0},
                                               {"cold_per_s", 8.0}}}},
-        {"limits", json::object{{"max_header_bytes", 16384},
-                                {"max_body_bytes", 1048576},
-                                {"header_timeout_ms", 3000},
-                                {"idle_timeout_ms", 10000}}},
+        {"limits", json::object{{"max_header_bytes", low_limits ? 1024 : 16384},
+                                {"max_body_bytes", low_limits ? 1024 : 1048576},
+                                {"header_timeout_ms", low_limits ? 500 : 3000},
+                                {"idle_timeout_ms", idle_timeout_.count}}},
         {"tenants",
          json::array{json::object{{"name", "buyers"}, {"api_keys", std::move(api_keys)}}}}};
     configuration_version_ += 1 + random.below(3);
@@ -283,13 +308,17 @@
     const bool truncated = engine.behavior == engine_behavior::truncated;
     reply.final_action = truncated ? engine_reply::connection_action::reset
                                    : engine_reply::connection_action::keep_open;
+    const std::uint64_t slow_ms =
+        derive_number(id, slow_ratio) == 0 ? derive_number(id + " delay", max_slow_ms) : 0;
     if (!is_stream(request))
     {
+        reply.delay = millis{static_cast<std::int64_t>(slow_ms)};
         const std::string complete = standin::make_response(request, 200, expected_body(id));
         reply.pieces.push_back(truncated ? complete.substr(0, complete.size() - 3) : complete);
         return reply;
     }
-    reply.delay = millis{20};
+    // The delay comes before each piece: events, head and end.
+    reply.delay = millis{20 + static_cast<std::int64_t>(slow_ms) / (event_count_limit + 2)};
     reply.pieces.push_back(standin::make_stream_head(request));
     const int count = event_count(id);
     for (int n = standin::last_event_id(request) + 1; n <= count; ++n)
--- a/soak/fleet.hpp
+++ b/soak/fleet.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <endivestage/core.hpp>
+#include <endivestage/daemon/http_connection.hpp>
 #include <endivestage/daemon/network_address.hpp>
 #include <endivestage/daemon/process_clock.hpp>
 #include <soak/promises.hpp>
@@ -51,6 +52,7 @@
     bool stopping = false;      ///< Asked to stop, and not killed or paused since it started.
     bool exit_expected = false; ///< Asked to stop or killed since it started.
     bool paused = false;
+    bool listening = false; ///< Has listened since it started; signals before that could kill it.
 };
 
 /// \brief A simulated engine and the link to it.
@@ -66,10 +68,17 @@
     time_point cold_until;
 };
 
+/// \returns Whether a server accepts connections at an address.
+daemon::awaitable<bool> is_listening(daemon::network_address address);
+
 /// \brief All components but the callers. Single-threaded.
 class soak_fleet
 {
 public:
+    static constexpr millis route_timeout{4000};
+    /// Longer delays of this process are measured.
+    static constexpr millis observation_interval{10};
+
     soak_fleet(boost::asio::io_context& context, soak_fleet_settings settings);
 
     /// \brief Starts store, engines and routers.
@@ -89,6 +98,8 @@
     /// \brief Writes the record of an engine to the store, as an engine does periodically.
     void write_engine_record(const soak_engine& engine);
 
+    /// \brief Writes the next version of the configuration, with random limits and sometimes many
+    /// more routes.
     void write_configuration();
 
     /// \returns The body that the response to a request must have.
@@ -101,6 +112,10 @@
 
     time_point now() const { return clock_.now(); }
 
+    /// \returns Time of inactivity after which routers with the newest configuration may close a
+    /// connection.
+    millis idle_timeout() const { return idle_timeout_; }
+
     promise_checker checker;
     standin::platform_store store;
     std::vector<std::unique_ptr<soak_router>> routers;
@@ -118,6 +133,7 @@
     soak_fleet_settings settings_;
     daemon::process_clock clock_;
     std::uint64_t configuration_version_ = 1;
+    millis idle_timeout_{0};
     std::size_t created_engines_ = 0;
 };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -20,6 +20,10 @@
 namespace
 {
 
+/// Planned operations that follow one another at once.
+constexpr std::uint64_t max_series = 4;
+constexpr std::uint64_t max_series_gap_ms = 60;
+
 /// Durations of the phases of a run, and its load.
 struct run_plan
 {
@@ -34,15 +38,6 @@
     double min_served_ratio = 0.9; ///< Of the requests in the measured period.
 };
 
-/// \returns Whether a server accepts connections at an address.
-awaitable<bool> is_listening(daemon::network_address address)
-{
-    asio::any_io_executor executor = co_await asio::this_coro::executor;
-    daemon::http_connection connection(executor);
-    const std::error_code ec = co_await connection.connect(address, millis{300}, millis{300});
-    co_return !ec;
-}
-
 /// Runs callers and events against a started fleet.
 class soak_run
 {
@@ -59,6 +54,7 @@
     {
         co_await wait_until_started();
         asio::co_spawn(context_, injector_.maintain_fleet(fleet_stopping_), asio::detached);
+        asio::co_spawn(context_, injector_.measure_delay(fleet_stopping_), asio::detached);
         std::vector<std::unique_ptr<caller>> callers;
         for (std::size_t n = 0; n < plan_.caller_count; ++n)
         {
@@ -116,16 +112,23 @@
     }
 
     /// Starts events at random intervals, so that they overlap. In the fault phase a third of them
-    /// are planned operations.
+    /// are planned operations, which come in short series.
     awaitable<void> inject_events(std::span<const soak_event> events, millis period)
     {
         const time_point deadline = fleet_.now() + period;
         while (fleet_.now() < deadline)
         {
-            const bool planned = fleet_.random.below(3) == 0;
+            const bool planned =
+                events.data() == planned_events().data() || fleet_.random.below(3) == 0;
             const std::span<const soak_event> candidates = planned ? planned_events() : events;
-            const soak_event event = candidates[fleet_.random.below(candidates.size())];
-            asio::co_spawn(context_, inject_event(event), asio::detached);
+            const std::uint64_t count = planned ? 1 + fleet_.random.below(max_series) : 1;
+            for (std::uint64_t n = 0; n < count; ++n)
+            {
+                const soak_event event = candidates[fleet_.random.below(candidates.size())];
+                asio::co_spawn(context_, inject_event(event), asio::detached);
+                co_await daemon::sleep_for(
+                    millis{static_cast<std::int64_t>(fleet_.random.below(max_series_gap_ms))});
+            }
             co_await daemon::sleep_for(
                 millis{static_cast<std::int64_t>(100 + fleet_.random.below(1400))});
         }
--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -18,6 +18,8 @@
         return "failed";
     case caller_outcome::no_answer:
         return "no_answer";
+    case caller_outcome::timed_out:
+        return "timed_out";
     case caller_outcome::not_reached:
         break;
     }
@@ -41,6 +43,7 @@
     record.kind = kind;
     record.key = key;
     record.sent_at = now;
+    record.observer_delay_before = observer_delay_;
 }
 
 void promise_checker::check_removed(std::string_view promise,
@@ -81,6 +84,11 @@
     {
         report("true_refusal", request, "ran at " + engine + " after the refusal");
     }
+    if (record.closed_in_transit)
+    {
+        record.closed_in_transit = false;
+        report("answer_or_refusal", request, "ran at " + engine + " after its connection ended");
+    }
     const auto withdrawn = withdrawn_.find(record.key);
     if (withdrawn != withdrawn_.end() &&
         record.sent_at - withdrawn->second > bounds_.max_revocation_delay)
@@ -106,11 +114,33 @@
     {
         report("true_refusal", request, "had run before the refusal");
     }
-    if (outcome == caller_outcome::no_answer && planned_stop && record.execution_count > 0 &&
-        is_undisturbed(now))
+    if (outcome == caller_outcome::no_answer)
+    {
+        check_unanswered(request, record, planned_stop, now);
+    }
+}
+
+void promise_checker::check_unanswered(const std::string& request, request_record& record,
+                                       bool planned_stop, time_point now)
+{
+    if (planned_stop && record.execution_count > 0 && is_undisturbed(now))
     {
         report("planned_stop", request, "no response from a router that was asked to stop");
+        return;
+    }
+    if (last_disturbance_ + bounds_.quiet_period > record.sent_at)
+    {
+        return;
+    }
+    const millis waited = now - record.sent_at - (observer_delay_ - record.observer_delay_before);
+    if (record.execution_count > 0 || waited > bounds_.loss_slack)
+    {
+        report("answer_or_refusal", request,
+               "no response for " + std::to_string(waited.count) + " ms, ran " +
+                   std::to_string(record.execution_count) + " times");
+        return;
     }
+    record.closed_in_transit = true;
 }
 
 void promise_checker::record_process_exit(const std::string& router, int status)
--- a/soak/promises.hpp
+++ b/soak/promises.hpp
@@ -30,6 +30,7 @@
     refused,    ///< Response that guarantees that the request was not and will not be executed.
     failed,     ///< Response that leaves open whether the request was executed.
     no_answer,  ///< The connection ended or the timeout elapsed.
+    timed_out,  ///< A stream that had begun ended at the route's timeout, when it must end.
     not_reached ///< No connection, or it was closed before the router could read the request.
 };
 
@@ -50,14 +51,17 @@
     millis max_revocation_delay{5000};
     millis max_leaving_delay{2000};
     millis max_zone_out_delay{5000};
-    /// The bounds for leaving engines and zones apply only if no fault was in effect since this
-    /// long before the change.
+    /// A connection that ends within this time of the request's last byte may have been closed
+    /// before the request arrived.
+    millis loss_slack{200};
+    /// The bounds for leaving engines and zones and the promise of a response apply only if no
+    /// fault was in effect since this long before the change or the request.
     millis quiet_period{3000};
 };
 
 /// \brief Collects observations and reports each broken promise once.
 ///
-/// The time passed to successive calls must not decrease.
+/// The time passed to successive calls must not decrease, except in record_outcome.
 class promise_checker
 {
 public:
@@ -73,11 +77,14 @@
     /// \param complete Whether the response has exactly the bytes that the engine generated.
     /// \param planned_stop Whether the router was asked to stop and not affected by any fault.
     ///
-    /// A request that was not executed during a planned stop breaks no promise: the router may have
-    /// closed the connection while the request was in transit.
+    /// A request without a response breaks no promise if it was not executed and its connection
+    /// ended within the slack: the router may have closed it while the request was in transit.
     void record_outcome(const std::string& request, caller_outcome outcome, bool complete,
                         bool planned_stop, time_point now);
 
+    /// \brief Records that the observations since the last call came this much too late.
+    void record_observer_delay(millis delay) { observer_delay_ = observer_delay_ + delay; }
+
     /// \brief Records that the caller disconnected before the response was complete.
     void record_abandoned(const std::string& request) { requests_[request].abandoned = true; }
 
@@ -124,13 +131,20 @@
         request_kind kind = request_kind::once;
         std::string key;
         time_point sent_at;
+        millis observer_delay_before{0}; ///< Sum of the observer's delays when it was sent.
         std::uint32_t execution_count = 0;
         std::optional<caller_outcome> outcome;
         bool abandoned = false;
+        bool closed_in_transit = false; ///< No response, allowed as long as it is not executed.
     };
 
     void report(std::string promise, const std::string& request, std::string detail);
 
+    /// Reports a request without a response unless its connection may have ended before the router
+    /// could read it.
+    void check_unanswered(const std::string& request, request_record& record, bool planned_stop,
+                          time_point now);
+
     /// Reports a request that ran at an engine or in a zone more than \p bound after its removal,
     /// unless a fault was in effect since a quiet period before the removal.
     void check_removed(std::string_view promise, const std::map<std::string, time_point>& removed,
@@ -143,6 +157,7 @@
     std::map<std::string, time_point> leaving_;
     std::map<std::string, time_point> zones_out_;
     time_point last_disturbance_{-1000000};
+    millis observer_delay_{0};
     std::vector<violation> violations_;
 };
 
--- a/tests/soak_promises_test.cpp
+++ b/tests/soak_promises_test.cpp
@@ -63,6 +63,31 @@
         checker.record_outcome("a", caller_outcome::no_answer, false, true, {10002});
         REQUIRE(checker.violations().front().promise == "planned_stop");
     }
+    SECTION("a request that ran gets no response")
+    {
+        checker.record_execution("a", "e1", "z", {10001});
+        checker.record_outcome("a", caller_outcome::no_answer, false, false, {10002});
+        REQUIRE(checker.violations().front().promise == "answer_or_refusal");
+    }
+    SECTION("a connection ends long after the request was sent")
+    {
+        checker.record_outcome("a", caller_outcome::no_answer, false, true, {10201});
+        REQUIRE(checker.violations().front().promise == "answer_or_refusal");
+    }
+    SECTION("a connection ends long after the request was sent, also for a delayed observer")
+    {
+        checker.record_observer_delay(millis{100});
+        checker.record_sent("a", request_kind::once, "key", {10000});
+        checker.record_observer_delay(millis{50});
+        checker.record_outcome("a", caller_outcome::no_answer, false, false, {10251});
+        REQUIRE(checker.violations().front().promise == "answer_or_refusal");
+    }
+    SECTION("a request runs after its connection has ended")
+    {
+        checker.record_outcome("a", caller_outcome::no_answer, false, false, {10002});
+        checker.record_execution("a", "e1", "z", {10003});
+        REQUIRE(checker.violations().front().promise == "answer_or_refusal");
+    }
     SECTION("a router exits unexpectedly")
     {
         checker.record_process_exit("r1", 11);
@@ -92,4 +117,23 @@
     checker.record_outcome("b", caller_outcome::no_answer, false, true, {10004});
     REQUIRE(checker.violations().empty());
     REQUIRE(checker.count_requests({0}, {20000}).sent == 1);
+    // The connection ended while the request was in transit, at last for a delayed observer.
+    checker.record_sent("c", request_kind::once, "key", {20000});
+    checker.record_outcome("c", caller_outcome::no_answer, false, true, {20200});
+    checker.record_sent("d", request_kind::once, "key", {21000});
+    checker.record_observer_delay(millis{300});
+    checker.record_outcome("d", caller_outcome::no_answer, false, false, {21500});
+    // A stream lasted until its route's timeout.
+    checker.record_sent("g", request_kind::stream, "key", {21500});
+    checker.record_execution("g", "e1", "z", {21500});
+    checker.record_outcome("g", caller_outcome::timed_out, false, true, {25500});
+    // A fault was in effect shortly before the request or during it.
+    checker.record_disturbance({22000});
+    checker.record_sent("e", request_kind::once, "key", {24000});
+    checker.record_execution("e", "e1", "z", {24001});
+    checker.record_outcome("e", caller_outcome::no_answer, false, false, {28000});
+    checker.record_sent("f", request_kind::once, "key", {30000});
+    checker.record_disturbance({30500});
+    checker.record_outcome("f", caller_outcome::no_answer, false, false, {34000});
+    REQUIRE(checker.violations().empty());
 }
