Answer requests that are still open when a stopping router exits

Callers saw: the connection closed without an answer or a refusal, for a request that a stopping router had accepted before its address answers expired. Cause: at the end of the grace period shut_down stopped the event loop, whatever was open. Found by review. Change: 0.1 s before the exit, request_service ends the exchanges whose response has not begun: 502 if an endpoint may have run the request, 503 with not_run if none has received it. Their connections to endpoints are closed, as at the exit. Before: the new test fails on the former commit: the router ends and the caller of a request that its engine holds gets nothing. After: daemon_planned_stop_test passes (3 cases, 32 assertions): 502 with "unknown" and Connection: close. daemon_platform_path_test, daemon_prompt_quarantine_test, daemon_endpoint_trouble_test and daemon_run_server_test pass. A first form of this change, in which a destructor removed the exchange from the list, crashed two of them: tests destroy the router before the coroutines that it has suspended. Conclusion: only streams that have begun are cut at the exit. The refusal of a request that no endpoint has received has no test of its own.

--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -197,6 +197,19 @@
     co_await try_endpoints();
 }
 
+void exchange::stop()
+{
+    if (history_.response_started)
+    {
+        return;
+    }
+    stopping_ = true;
+    if (connection_)
+    {
+        connection_->close();
+    }
+}
+
 awaitable<bool> exchange::refuse_quarantined()
 {
     const quarantine_decision decision =
@@ -333,7 +346,7 @@
                        : next_step::fail;
         }
         if (step == next_step::try_another &&
-            state_.quarantine.contains(decoded_.shared_prompt, state_.time.now()))
+            (stopping_ || state_.quarantine.contains(decoded_.shared_prompt, state_.time.now())))
         {
             step = outcome == endpoint_outcome::failed ? next_step::deliver
                    : history_.possible_executions == 0 ? next_step::refuse
@@ -409,7 +422,7 @@
     time_budget time;
     time.remaining = time_left();
     time.latency_objective = route_->latency_objective;
-    if (caller_left_ || time.remaining <= millis{0})
+    if (caller_left_ || stopping_ || time.remaining <= millis{0})
     {
         co_return endpoint_outcome::shed;
     }
@@ -446,7 +459,7 @@
 void exchange::check_for_crash(const endpoint_record& endpoint)
 {
     // Requests that have received more than the first event did not cause the crash.
-    if (beyond_first_event_ || caller_left_ || decoded_.shared_prompt.empty())
+    if (beyond_first_event_ || caller_left_ || stopping_ || decoded_.shared_prompt.empty())
     {
         return;
     }
--- a/endivestage/serving/exchange.hpp
+++ b/endivestage/serving/exchange.hpp
@@ -28,6 +28,10 @@
     /// \brief Runs the exchange until the response was sent or the caller has disconnected.
     daemon::awaitable<void> run();
 
+    /// \brief Ends the exchange with a failure, or a refusal if no endpoint has received the
+    /// request. Has no effect once the response has begun.
+    void stop();
+
 private:
     /// \brief A response whose body is read from \ref connection_.
     struct received_response
@@ -78,6 +82,7 @@
     bool beyond_first_event_ = false; ///< The present attempt has received more than one event.
     bool prompt_served_ = false;      ///< The prompt's parts were recorded as served.
     bool caller_left_ = false;
+    bool stopping_ = false;
     attempt_history history_;
     std::vector<endpoint_id> tried_;
     rendezvous_pair rendezvous_pair_;
--- a/endivestage/serving/request_service.cpp
+++ b/endivestage/serving/request_service.cpp
@@ -3,6 +3,7 @@
 #include <endivestage/daemon/logging.hpp>
 #include <endivestage/serving/exchange.hpp>
 
+#include <exception>
 #include <utility>
 
 namespace endivestage::serving
@@ -42,7 +43,30 @@
     const open_request_count counted(state_);
     std::shared_ptr<exchange> handler = std::make_shared<exchange>(
         executor_, state_, std::move(request), std::move(*decoded), caller);
-    co_await handler->run();
+    // Not removed by a destructor: suspended coroutines may be destroyed after the service.
+    open_.insert(handler.get());
+    std::exception_ptr failure;
+    try
+    {
+        co_await handler->run();
+    }
+    catch (const std::exception&)
+    {
+        failure = std::current_exception();
+    }
+    open_.erase(handler.get());
+    if (failure)
+    {
+        std::rethrow_exception(failure);
+    }
+}
+
+void request_service::end_open_requests()
+{
+    for (exchange* handler : open_)
+    {
+        handler->stop();
+    }
 }
 
 } // namespace endivestage::serving
--- a/endivestage/serving/request_service.hpp
+++ b/endivestage/serving/request_service.hpp
@@ -6,10 +6,13 @@
 #include <endivestage/serving/router_state.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
+#include <set>
 
 namespace endivestage::serving
 {
 
+class exchange;
+
 /// \brief Serves callers' requests by forwarding them to endpoints. Its state is in
 /// \ref router_state.
 class request_service
@@ -25,9 +28,13 @@
     /// \brief Serves one request and sends its response to \p caller.
     daemon::awaitable<void> serve(http_request request, daemon::response_writer& caller);
 
+    /// \brief Ends open requests whose response has not begun, with a failure or a refusal.
+    void end_open_requests();
+
 private:
     boost::asio::any_io_executor executor_;
     router_state& state_;
+    std::set<exchange*> open_;
 };
 
 } // namespace endivestage::serving
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -37,8 +37,8 @@
 constexpr millis leave_propagation_time{500};
 /// The process exits this long before the platform would kill it.
 constexpr millis stop_margin{500};
-/// Requests that are accepted late in a planned stop end this long before the process exits, so
-/// that their last bytes are still sent.
+/// Requests that are open late in a planned stop end this long before the process exits, so that
+/// their last bytes are still sent.
 constexpr millis delivery_margin{100};
 constexpr std::size_t max_addresses = 64;
 
@@ -634,6 +634,10 @@
             caller_server_.stop_accepting();
             caller_server_.close_idle();
         }
+        if (time_.now() >= deadline - delivery_margin)
+        {
+            request_service_.end_open_requests();
+        }
         if (done)
         {
             break;
--- a/tests/daemon_planned_stop_test.cpp
+++ b/tests/daemon_planned_stop_test.cpp
@@ -149,6 +149,33 @@
         });
 }
 
+// Guards against requests that a stopping router cuts at its exit, without an answer or a refusal.
+TEST_CASE("a request that is still open when a stopping router exits is answered")
+{
+    fleet f;
+    f.add_engine("e1",
+                 [](const http_request&) {
+                     return engine_reply{{}, millis{0}, engine_reply::connection_action::hang};
+                 });
+    f.settings.bounds.address_lifetime = millis{0};
+    f.settings.bounds.stop_grace = millis{2000};
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            pipelining_caller caller(f.context, f.settings.callers);
+            caller.send("/s/", "open", 5000);
+            while (f.engines.front()->received().empty())
+            {
+                co_await f.pause(5);
+            }
+            f.router->stop();
+            co_await caller.read_until("\"unknown\"");
+            REQUIRE(caller.has_received("HTTP/1.1 502"));
+            REQUIRE(caller.has_received("Connection: close"));
+        });
+}
+
 // Guards against a router that joins its fleet after it was asked to stop: the others name it in
 // address answers.
 TEST_CASE("a router that stops before the store has answered does not join its fleet")
