Drive the test of client connections without coroutines of its own

Change: the test spawns the operations of http_connection directly. Its cases and what they demand stay.

--- a/tests/daemon_http_connection_test.cpp
+++ b/tests/daemon_http_connection_test.cpp
@@ -3,13 +3,13 @@
 #include <endivestage/daemon/http_connection.hpp>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <exception>
 #include <optional>
 #include <string>
 #include <thread>
@@ -35,45 +35,44 @@
           server(server_context),
           connection(context.get_executor())
     {
-        std::error_code failure;
-        run(
-            [&]() -> awaitable<void>
-            {
-                daemon::network_address address{"127.0.0.1", acceptor.local_endpoint().port()};
-                failure =
-                    co_await connection.connect(std::move(address), long_timeout, long_timeout);
-                connection.send(http_request{});
-            });
-        REQUIRE_FALSE(failure);
+        daemon::network_address address{"127.0.0.1", acceptor.local_endpoint().port()};
+        const std::error_code ec =
+            run(connection.connect(std::move(address), long_timeout, long_timeout));
+        REQUIRE_FALSE(ec);
+        connection.send(http_request{});
         acceptor.accept(server);
     }
 
     void respond(const std::string& text) { asio::write(server, asio::buffer(text)); }
 
-    /// Runs the steps to their end.
-    template <class Steps>
-    void run(Steps steps)
+    /// Starts an operation, which sets \p outcome at its end.
+    template <class T>
+    void start(awaitable<T> operation, std::optional<T>& outcome)
     {
-        bool done = false;
-        asio::co_spawn(
-            context,
-            [&]() -> awaitable<void>
-            {
-                co_await steps();
-                done = true;
-            },
-            asio::detached);
-        run_until(done);
+        asio::co_spawn(context, std::move(operation),
+                       [&outcome](const std::exception_ptr&, T value)
+                       { outcome = std::move(value); });
     }
 
-    void run_until(const bool& done)
+    template <class T>
+    T run_until(std::optional<T>& outcome)
     {
-        for (int n = 0; n < 400 && !done; ++n)
+        for (int n = 0; n < 400 && !outcome; ++n)
         {
             context.restart();
             context.run_for(std::chrono::milliseconds(5));
         }
-        REQUIRE(done);
+        REQUIRE(outcome.has_value());
+        return std::move(*outcome);
+    }
+
+    /// Runs an operation to its end.
+    template <class T>
+    T run(awaitable<T> operation)
+    {
+        std::optional<T> outcome;
+        start(std::move(operation), outcome);
+        return run_until(outcome);
     }
 
     asio::io_context server_context;
@@ -87,17 +86,24 @@
 result<std::string> read_body_late(connection_fixture& f, const std::string& answer)
 {
     f.respond(answer);
-    result<std::string> body = make_error_code(errc::cancelled);
-    f.run(
-        [&]() -> awaitable<void>
-        {
-            const result<http_response> head = co_await f.connection.read_head(long_timeout);
-            if (head)
-            {
-                body = co_await daemon::read_body(f.connection, millis{-1}, 1U << 20U);
-            }
-        });
-    return body;
+    REQUIRE(f.run(f.connection.read_head(long_timeout)).has_value());
+    return f.run(daemon::read_body(f.connection, millis{-1}, 1U << 20U));
+}
+
+/// Begins to read a head, and blocks the event loop until the time for it is over.
+/// \param answer Sent before the end of the time is handled.
+result<http_response> read_head_across_block(connection_fixture& f, const std::string& answer)
+{
+    constexpr std::chrono::milliseconds timeout{200};
+    std::optional<result<http_response>> head;
+    f.start(f.connection.read_head(millis{timeout.count()}), head);
+    f.context.restart();
+    f.context.poll();
+    // Both timers have expired when the loop runs again, and this one is handled first.
+    asio::steady_timer earlier(f.context, std::chrono::milliseconds(1));
+    earlier.async_wait([&](const boost::system::error_code&) { f.respond(answer); });
+    std::this_thread::sleep_for(timeout + std::chrono::milliseconds(100));
+    return f.run_until(head);
 }
 
 } // namespace
@@ -123,36 +129,6 @@
     REQUIRE(body.error() == errc::deadline_exceeded);
 }
 
-namespace
-{
-
-/// Begins to read a head, and blocks the event loop until the time for it is over.
-/// \param answer Sent before the end of the time is handled.
-result<http_response> read_head_across_block(connection_fixture& f, const std::string& answer)
-{
-    constexpr std::chrono::milliseconds timeout{200};
-    result<http_response> head = make_error_code(errc::cancelled);
-    bool done = false;
-    asio::co_spawn(
-        f.context,
-        [&]() -> awaitable<void>
-        {
-            head = co_await f.connection.read_head(millis{timeout.count()});
-            done = true;
-        },
-        asio::detached);
-    f.context.restart();
-    f.context.poll();
-    // Both timers have expired when the loop runs again, and this one is handled first.
-    asio::steady_timer earlier(f.context, std::chrono::milliseconds(1));
-    earlier.async_wait([&](const boost::system::error_code&) { f.respond(answer); });
-    std::this_thread::sleep_for(timeout + std::chrono::milliseconds(100));
-    f.run_until(done);
-    return head;
-}
-
-} // namespace
-
 // Guards against an answer that has arrived whole and is lost, because the timer of the read closed
 // the socket: the caller gets a failure, or the request is sent once more.
 TEST_CASE("an answer that arrives while a blocked event loop passes its time is read")
