Store a quarantine within a second

Cause: a router looked once a second for quarantines to store, and more than the first routers became entitled only after another second. A successful write was logged with error=Success. Change: routers look every 100 ms, and more become entitled each 500 ms. Records are erased no sooner than 2 s after a part is no longer quarantined here, since a starting router regards a record 300 ms after it has read it. A failed write is logged as quarantine_write_failed. Conclusion: a quarantine is lost only if all routers end within about a second after it was found.

--- a/endivestage/routing/quarantine_records.cpp
+++ b/endivestage/routing/quarantine_records.cpp
@@ -22,11 +22,11 @@
     entries_.erase(part);
 }
 
-bool quarantine_records::is_due(std::uint64_t part, entry& record, std::size_t routers,
-                                time_point now) const
+bool quarantine_records::is_due(std::uint64_t part, entry& record, millis delay,
+                                std::size_t routers, time_point now) const
 {
     record.differs_since = record.differs_since.value_or(now);
-    const millis waited = now - *record.differs_since - config_.initial_delay;
+    const millis waited = now - *record.differs_since - delay;
     if (waited < millis{0} ||
         (record.written_at && now - *record.written_at < config_.retry_interval))
     {
@@ -65,7 +65,7 @@
         }
         const bool has_room = !record.stored.empty() || stored_count < config_.max_records;
         if (has_room && writes.to_store.size() < config_.max_writes_at_once &&
-            is_due(quarantine.part, record, routers, now))
+            is_due(quarantine.part, record, millis{0}, routers, now))
         {
             stored_count += record.stored.empty() ? 1 : 0;
             record.written_at = now;
@@ -86,7 +86,7 @@
             continue;
         }
         if (writes.to_erase.size() < config_.max_writes_at_once &&
-            is_due(it->first, record, routers, now))
+            is_due(it->first, record, config_.erase_delay, routers, now))
         {
             record.written_at = now;
             writes.to_erase.push_back(it->first);
--- a/endivestage/routing/quarantine_records.hpp
+++ b/endivestage/routing/quarantine_records.hpp
@@ -17,11 +17,13 @@
 /// \brief Limits of \ref quarantine_records.
 struct quarantine_records_config
 {
-    /// Other routers hear of a crash and of a clearance within this time.
-    millis initial_delay{500};
-    /// Interval at which more routers become entitled to a write.
-    millis step{1000};
-    /// A write shows in the copies of the table within this time.
+    /// Interval at which more routers become entitled to a write. A write shows in most copies of
+    /// the table within it.
+    millis step{500};
+    /// A starting router takes part in a stored quarantine within this time, and must not erase the
+    /// record before.
+    millis erase_delay{2000};
+    /// After this time a write that does not show in the copy of the table has failed.
     millis retry_interval{5000};
     std::size_t max_writes_at_once = 4;
     std::size_t max_records = 256;
@@ -67,7 +69,8 @@
         std::optional<time_point> written_at;    ///< This router's latest write.
     };
 
-    bool is_due(std::uint64_t part, entry& record, std::size_t routers, time_point now) const;
+    bool is_due(std::uint64_t part, entry& record, millis delay, std::size_t routers,
+                time_point now) const;
     std::size_t count_stored() const;
 
     std::uint64_t self_;
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -55,6 +55,16 @@
     return converted;
 }
 
+void log_quarantine_write(std::string_view event, std::uint64_t part, std::error_code ec)
+{
+    if (ec)
+    {
+        log_event(log_level::warning, "quarantine_write_failed", {{"part", part}, ec});
+        return;
+    }
+    log_event(log_level::info, event, {{"part", part}});
+}
+
 stop_config to_stop_config(const server_bounds& bounds)
 {
     stop_config converted;
@@ -271,8 +281,8 @@
             reminded_at = now;
             state_.quarantine.expire(now);
             state_.announce(state_.quarantine.reminders(now));
-            write_quarantine_records(now);
         }
+        write_quarantine_records(now);
         if (!state_.pending_part_reports.empty())
         {
             std::vector<part_report> reports;
@@ -388,8 +398,7 @@
     std::string data = encode_quarantine_row(record);
     const std::error_code ec =
         co_await platform_.tables->write(shared_table::routers, std::move(key), std::move(data));
-    log_event(ec ? log_level::warning : log_level::info, "quarantine_stored",
-              {{"part", record.part}, ec});
+    log_quarantine_write("quarantine_stored", record.part, ec);
 }
 
 awaitable<void> server::erase_quarantine(std::uint64_t part)
@@ -397,7 +406,7 @@
     std::string key = quarantine_row_key(part);
     const std::error_code ec =
         co_await platform_.tables->erase(shared_table::routers, std::move(key));
-    log_event(ec ? log_level::warning : log_level::info, "quarantine_erased", {{"part", part}, ec});
+    log_quarantine_write("quarantine_erased", part, ec);
 }
 
 void server::apply_routes(route_table routes)
