Correct what a comment says of idle connections

Cause: the comment in to_http_limits said that callers stop to reuse a connection before the router closes it. Change: the comment. Before and after: the same code.

--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -47,8 +47,8 @@
     http_limits converted;
     converted.header_bytes = limits.max_header_bytes;
     converted.body_bytes = limits.max_body_bytes;
-    // Callers reuse connections up to the idle timeout. The second on top keeps the router's close
-    // from crossing with a request.
+    // Callers reuse connections up to the idle timeout, some a little longer. The second on top
+    // makes it rare that the router's close crosses a request.
     converted.idle = limits.idle_timeout + millis{1000};
     converted.request = limits.header_timeout * 2;
     converted.write = write_timeout;
