--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -9,6 +9,7 @@
 import ctypes
 import json
 import os
+import shutil
 import signal
 import tempfile
 import time
@@ -468,6 +469,8 @@
                 router.signal(signal.SIGCONT)
                 router.signal(signal.SIGKILL)
                 await router.process.wait()
+        if "KEEP" not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def route(name, prefix, kind, service, timeout_ms=2500, attempts=1, resumable=False, slo_ms=150):
