Stop using engines in time when a poll of their records is lost

What callers saw: engines leave, the store gives no answers for 0.2 s, and all routers send to the engines that left last for another 3.3 to 4 s. Where the engine exits after 4 s, orders at work there end with 502. Cause: a router judged the age of its copies by the operator's table alone. The poll of the endpoints' table lost its response and was given up after 3.9 s, while polls of the other table recovered within 1.6 s and renewed the only age that counts. The poll that was given up also counted as an outage, so that engines whose records went then were kept for 1.6 s more. Change: each table has its own age, relays state both, and a source is stale when either is. The wait of a poll is what is left until its copy is 0.6 s old (30% of the bound), the pause after a change included. An outage is judged by the calls for all tables (service_outage). Log fields and a gauge tell the ages apart. Conclusion: the limits that hold for the operator's table now hold for both.

--- a/endivestage/replication/timing.hpp
+++ b/endivestage/replication/timing.hpp
@@ -15,9 +15,9 @@
 /// in force, so a fleet with more time makes fewer calls to the table service.
 struct replication_timing
 {
-    /// Duration of a long poll of the operator's table. Without changes it bounds the age of the
-    /// primary relay's copy.
-    millis operations_wait{600};
+    /// Age of the primary relay's copies of the operator's and the endpoints' table at which their
+    /// long polls end without changes.
+    millis poll_wait{600};
     /// Pause after a poll of a table whose rows change often, so that several changes share a call.
     millis change_pause{350};
     /// A relay whose copy is older than this has lost its source: its next poll is overdue.
@@ -29,7 +29,7 @@
     static constexpr replication_timing for_change_delay(millis max_change_delay)
     {
         replication_timing timing;
-        timing.operations_wait = max_change_delay * 30 / 100;
+        timing.poll_wait = max_change_delay * 30 / 100;
         timing.change_pause = max_change_delay * 35 / 200;
         timing.relay_stale_after = max_change_delay * 75 / 100;
         timing.stale_after = max_change_delay * 95 / 100;
--- a/endivestage/serving/replication_service.cpp
+++ b/endivestage/serving/replication_service.cpp
@@ -28,7 +28,6 @@
 namespace
 {
 
-constexpr millis endpoints_poll_wait{3000};
 constexpr millis routers_poll_wait{10000};
 constexpr millis relay_poll_wait{250};
 constexpr millis relay_timeout{600};
@@ -41,11 +40,9 @@
 constexpr millis max_retry_delay{500};
 /// Consecutive failures after which a router polls a relay instead.
 constexpr std::int64_t max_service_failures = 2;
-/// When the table service did not respond for longer than this, records may have expired during the
-/// outage.
-constexpr millis outage_threshold{2500};
-/// Records that expired during an outage are written again within this time.
-constexpr millis settling_period{2500};
+/// Pause after a change while rows may be missing because of an outage. Endpoints whose records go
+/// then are kept for a grace period, which leaves less time to learn of it.
+constexpr millis settling_change_pause{100};
 constexpr millis idle_poll_interval{50};
 /// Time for which a starting router asks relays for the tables. Reading them from the table service
 /// takes tens of milliseconds, so a relay that starts at the same time has them within this time.
@@ -143,6 +140,7 @@
     {
         replicas_.emplace(table, table_replica{});
         service_states_.emplace(table, service_state{});
+        freshness_.emplace(table, freshness_lease{millis{0}});
         served_changes_.try_emplace(table, table);
     }
 }
@@ -168,9 +166,16 @@
                        { return replicas_.at(table).revision().has_value(); });
 }
 
+std::optional<millis> replication_service::age(shared_table table) const
+{
+    return freshness_.at(table).age(time_.now());
+}
+
 std::optional<millis> replication_service::age() const
 {
-    return freshness_.age(time_.now());
+    const std::optional<millis> operations = age(shared_table::operations);
+    const std::optional<millis> endpoints = age(shared_table::endpoints);
+    return operations && endpoints ? std::max(operations, endpoints) : std::nullopt;
 }
 
 awaitable<void> replication_service::wait_for_change(millis max_wait)
@@ -182,15 +187,18 @@
     waiters_.erase(&timer);
 }
 
-void replication_service::renew_freshness(time_point instant)
+void replication_service::renew_freshness(shared_table table, time_point instant)
 {
-    freshness_.renew(instant);
-    callbacks_.on_current(instant);
+    freshness_.at(table).renew(instant);
+    if (table == shared_table::operations)
+    {
+        callbacks_.on_current(instant);
+    }
 }
 
-bool replication_service::is_settling(shared_table table) const
+bool replication_service::is_settling() const
 {
-    return time_.now() < service_states_.at(table).settled_at;
+    return outage_.is_settling(time_.now());
 }
 
 void replication_service::apply(shared_table table, const change_batch& batch, bool settling)
@@ -207,32 +215,36 @@
     }
 }
 
-void replication_service::record_service_result(shared_table table, std::error_code ec)
+void replication_service::record_service_result(shared_table table, time_point sent,
+                                                std::error_code ec)
 {
     service_state& state = service_states_.at(table);
     const time_point now = time_.now();
     if (ec)
     {
         ++state.failures;
+        outage_.record_failure(sent);
         if (state.reachable)
         {
             state.reachable = false;
-            log_event(log_level::warning, "table_service_lost", {{"table", to_string(table)}, ec});
+            log_event(log_level::warning, "table_service_lost",
+                      {{"table", to_string(table)},
+                       ec,
+                       {"after_ms", now - sent},
+                       {"age_ms", age(table).value_or(millis{-1})}});
         }
         return;
     }
+    outage_.record_success(now);
     if (!state.reachable)
     {
-        if (state.last_success >= time_point{0} && now - state.last_success > outage_threshold)
-        {
-            state.settled_at = now + settling_period;
-        }
         log_event(log_level::info, "table_service_reached",
-                  {{"table", to_string(table)}, {"failures", state.failures}});
+                  {{"table", to_string(table)},
+                   {"failures", state.failures},
+                   {"settling", is_settling()}});
     }
     state.reachable = true;
     state.failures = 0;
-    state.last_success = now;
 }
 
 awaitable<millis> replication_service::poll_service(shared_table table, millis max_wait)
@@ -251,7 +263,7 @@
     {
         response = co_await tables_.list(table);
     }
-    record_service_result(table, response ? std::error_code{} : response.error());
+    record_service_result(table, sent, response ? std::error_code{} : response.error());
     if (!response)
     {
         const std::int64_t failures = service_states_.at(table).failures;
@@ -265,31 +277,33 @@
     service_clock_.observe(sent, response->timestamp);
     const bool is_older = revision && response->batch.revision < *revision;
     const bool changed = !response->batch.rows.empty();
-    apply(table, response->batch, is_settling(table));
-    if (table == shared_table::operations && !is_older)
+    apply(table, response->batch, is_settling());
+    if (!is_older)
     {
         renew_freshness(
+            table,
             std::max(sent, service_clock_.earliest_local(response->timestamp).value_or(sent)));
     }
     callbacks_.on_updated();
-    const bool pauses = changed && table != shared_table::operations;
-    co_return pauses ? source_choice_.timing().change_pause : millis{0};
+    if (!changed || table == shared_table::operations)
+    {
+        co_return millis{0};
+    }
+    const millis pause = source_choice_.timing().change_pause;
+    co_return is_settling() ? std::min(pause, settling_change_pause) : pause;
 }
 
 millis replication_service::poll_wait(shared_table table) const
 {
-    const millis operations_wait = source_choice_.timing().operations_wait;
-    switch (table)
+    if (table == shared_table::routers)
     {
-    case shared_table::operations:
-        // A router that becomes the primary has an old copy, and others wait for its first answer.
-        return age().value_or(operations_wait) > operations_wait ? millis{0} : operations_wait;
-    case shared_table::endpoints:
-        return endpoints_poll_wait;
-    case shared_table::routers:
-        break;
+        return routers_poll_wait;
     }
-    return routers_poll_wait;
+    // A lost response shows only when its poll times out. The wait therefore bounds the age of the
+    // copy, including a pause before the poll. A router that becomes the primary has an old copy,
+    // and others wait for its first answer.
+    const millis max_age = source_choice_.timing().poll_wait;
+    return std::max(millis{0}, max_age - age(table).value_or(millis{0}));
 }
 
 bool replication_service::polls_service(shared_table table) const
@@ -323,7 +337,8 @@
             {{"source", source.relay.empty() ? std::string("table_service") : source.relay.str()},
              {"relaying", source.is_relay},
              {"primary", primary},
-             {"age_ms", age().value_or(millis{-1})}});
+             {"age_ms", age(shared_table::operations).value_or(millis{-1})},
+             {"endpoints_age_ms", age(shared_table::endpoints).value_or(millis{-1})}});
     }
     relaying_ = source.is_relay;
     primary_ = primary;
@@ -543,13 +558,17 @@
         callbacks_.on_fleet_loads(changes);
     }
     const std::int64_t age_ms = daemon::get_number(*response, "age_ms", -1);
-    if (age_ms < 0 || source_choice_.is_relay_stale(millis{age_ms}))
+    // Relays that run an earlier release state the age of the operator's table only.
+    const std::int64_t endpoints_age_ms = daemon::get_number(*response, "endpoints_age_ms", age_ms);
+    if (age_ms < 0 || endpoints_age_ms < 0 ||
+        source_choice_.is_relay_stale(millis{std::max(age_ms, endpoints_age_ms)}))
     {
         return make_error_code(errc::stale_view);
     }
-    // The relay determined the age after the request was sent, so this instant is not later than
-    // the one at which the copy was current.
-    renew_freshness(sent_at - millis{age_ms});
+    // The relay determined the ages after the request was sent, so these instants are not later
+    // than those at which the copies were current.
+    renew_freshness(shared_table::operations, sent_at - millis{age_ms});
+    renew_freshness(shared_table::endpoints, sent_at - millis{endpoints_age_ms});
     callbacks_.on_updated();
     return {};
 }
@@ -606,11 +625,12 @@
         fragments.push_back(std::make_shared<const encoded_fragment>(encode_fragment(text)));
         fragments.push_back(served_changes_.at(table).cache.changes_since(
             replicas_.at(table), parse_revision(target.parameter(to_string(table))),
-            is_settling(table)));
+            is_settling()));
         text = ",";
     }
     json::object rest;
-    rest["age_ms"] = age().value_or(millis{-1}).count;
+    rest["age_ms"] = age(shared_table::operations).value_or(millis{-1}).count;
+    rest["endpoints_age_ms"] = age(shared_table::endpoints).value_or(millis{-1}).count;
     const std::string_view loads_since = target.parameter("loads");
     if (!loads_since.empty())
     {
--- a/endivestage/serving/replication_service.hpp
+++ b/endivestage/serving/replication_service.hpp
@@ -79,8 +79,9 @@
     /// \param relay Hash of the relay's id.
     void record_group_loads(std::uint64_t relay, std::span<const engine_requests> loads);
 
-    /// \returns Age of the copy of the operator's table; nothing before the first copy.
-    std::optional<millis> age() const;
+    /// \returns Age of the copy of a table; nothing before the first copy. The age of the routers'
+    /// table is known only on routers that poll the table service.
+    std::optional<millis> age(shared_table table) const;
 
     /// \returns Calls made to the table service since start.
     std::uint64_t store_calls() const { return store_calls_; }
@@ -110,17 +111,18 @@
                               std::span<const shared_table> changed, time_point now,
                               daemon::http_response& response);
     void apply(shared_table table, const change_batch& batch, bool settling);
-    void record_service_result(shared_table table, std::error_code ec);
-    void renew_freshness(time_point instant);
+    void record_service_result(shared_table table, time_point sent, std::error_code ec);
+    void renew_freshness(shared_table table, time_point instant);
+    /// \returns Age of the older one of the operator's and the endpoints' table, whose changes must
+    /// be in force within a bound; nothing before the first copies.
+    std::optional<millis> age() const;
     daemon::awaitable<void> wait_for_change(millis max_wait);
-    bool is_settling(shared_table table) const;
+    bool is_settling() const;
 
     struct service_state
     {
         bool reachable = false;    ///< The last call succeeded.
         std::int64_t failures = 0; ///< Consecutive failures.
-        time_point last_success{-1};
-        time_point settled_at{-1}; ///< Rows deleted before this may have expired in an outage.
     };
 
     /// \brief Encoded changes of a table for followers.
@@ -142,7 +144,8 @@
     std::map<shared_table, service_state> service_states_;
     std::map<shared_table, served_changes> served_changes_;
     remote_clock service_clock_;
-    freshness_lease freshness_{millis{0}};
+    std::map<shared_table, freshness_lease> freshness_;
+    service_outage outage_;
     std::set<boost::asio::steady_timer*> waiters_;
     std::shared_ptr<daemon::http_connection> relay_connection_;
     router_id connected_relay_;
--- a/endivestage/serving/router_metrics.cpp
+++ b/endivestage/serving/router_metrics.cpp
@@ -77,6 +77,9 @@
     set_gauge("endivestage_copy_age_seconds",
               "Age of the copy of the operator's table; negative before the first one.",
               to_seconds(values.copy_age));
+    set_gauge("endivestage_endpoints_copy_age_seconds",
+              "Age of the copy of the endpoints' table; negative before the first one.",
+              to_seconds(values.endpoints_copy_age));
     set_gauge("endivestage_relaying", "1 while this router serves table changes to others.",
               values.relaying ? 1.0 : 0.0);
     set_gauge("endivestage_primary", "1 while this router polls the table service for the fleet.",
--- a/endivestage/serving/router_metrics.hpp
+++ b/endivestage/serving/router_metrics.hpp
@@ -23,7 +23,8 @@
     std::uint64_t config_version = 0;
     std::uint64_t store_calls = 0;     ///< Calls to the table service since start.
     std::size_t quarantined_parts = 0; ///< Parts of prompts that are kept from engines.
-    millis copy_age{-1}; ///< Age of the operator's table; negative before the first copy.
+    millis copy_age{-1};           ///< Age of the operator's table; negative before the first copy.
+    millis endpoints_copy_age{-1}; ///< Age of the endpoints' table; negative before the first copy.
     bool relaying = false;
     bool primary = false;
     bool ready = false;
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -533,7 +533,8 @@
     gauges.quarantined_parts = state_.quarantine.quarantined(time_.now());
     if (replication_)
     {
-        gauges.copy_age = replication_->age().value_or(millis{-1});
+        gauges.copy_age = replication_->age(shared_table::operations).value_or(millis{-1});
+        gauges.endpoints_copy_age = replication_->age(shared_table::endpoints).value_or(millis{-1});
         gauges.relaying = replication_->is_relaying();
         gauges.primary = replication_->is_primary();
         gauges.store_calls = replication_->store_calls();
--- a/standin/platform_store.cpp
+++ b/standin/platform_store.cpp
@@ -23,6 +23,7 @@
 {
 
 constexpr millis poll_interval{5};
+constexpr millis test_horizon{60000};
 
 std::uint64_t parse_number(std::string_view text)
 {
@@ -124,10 +125,22 @@
     {
         co_await daemon::sleep_for(poll_interval);
     }
+    co_await lose_response(table);
     response.body = list_rows(table, since, true);
     co_await writer.send(std::move(response));
 }
 
+awaitable<void> platform_store::lose_response(std::string table) const
+{
+    if (faults.lose_responses || (!faults.lost_table.empty() && faults.lost_table == table))
+    {
+        for (;;)
+        {
+            co_await daemon::sleep_for(test_horizon);
+        }
+    }
+}
+
 awaitable<void> platform_store::respond_to_transaction(std::string body, response_writer& writer)
 {
     const result<json::object> parsed = daemon::parse_json_object(body);
@@ -170,6 +183,7 @@
         writer.abort();
         co_return;
     }
+    co_await lose_response({});
     http_response response;
     http_target target;
     if (faults.status != 0 || !daemon::parse_target(request.target, target) ||
--- a/standin/platform_store.hpp
+++ b/standin/platform_store.hpp
@@ -19,6 +19,9 @@
     int status = 0;      ///< Respond to every call with this status; 0 responds normally.
     bool silent = false; ///< Do not respond while this is set.
     bool reset = false;  ///< Close every connection without a response.
+    /// Responses that are due while this is set are lost; their connections deliver nothing more.
+    bool lose_responses = false;
+    std::string lost_table;            ///< The same for the feed of this table only.
     bool lose_write_responses = false; ///< Apply writes without a response.
     bool drop_history = false;         ///< Respond to the next feed with 410; cleared then.
 };
@@ -65,6 +68,9 @@
                                             daemon::response_writer& writer);
     daemon::awaitable<void> respond_to_transaction(std::string body,
                                                    daemon::response_writer& writer);
+    /// \brief Waits without end if the response to a call is lost.
+    /// \param table The table of a feed; empty for other calls.
+    daemon::awaitable<void> lose_response(std::string table) const;
     /// \returns Rows with a revision above \p since as JSON.
     std::string list_rows(const std::string& table, std::uint64_t since, bool with_deleted) const;
     bool has_changed(const std::string& table, std::uint64_t since) const;
--- a/tests/source_choice_test.cpp
+++ b/tests/source_choice_test.cpp
@@ -132,7 +132,7 @@
     for (const millis bound : {millis{2000}, millis{3000}, millis{3200}})
     {
         const replication_timing timing = replication_timing::for_change_delay(bound);
-        const millis relay_age = timing.operations_wait + relay_wait;
+        const millis relay_age = timing.poll_wait + relay_wait;
         REQUIRE(relay_age < timing.relay_stale_after);
         REQUIRE(relay_age + relay_timeout <= timing.relay_stale_after);
         REQUIRE(relay_age + relay_timeout + relay_wait < timing.stale_after);
