Bound the memory of all answers that a router reads

What callers saw, as operators of a similar system report: an engine sends bytes without end, the host that called it runs out of memory, and the requests of all its callers end. Cause: each answer was limited to 16 MB, but nothing limited all of them together; a host has 160 MB and more. Change: answers share a quarter of router.memory_mb (a new optional setting, filled from the platform's settings). An answer may take as much as all of them leave free (buffer_budget). One that may not grow is given up like one that breaks off, and logged. Conclusion: no answer, and no number of them, fills a router's memory.

--- a/endivestage/daemon/http_connection.cpp
+++ b/endivestage/daemon/http_connection.cpp
@@ -239,6 +239,16 @@
 
 awaitable<result<std::string>> read_body(http_connection& connection, millis timeout,
                                          std::size_t most)
+{
+    std::function<bool(std::size_t)> may_hold = [most](std::size_t size)
+    {
+        return size <= most;
+    };
+    co_return co_await read_body(connection, timeout, std::move(may_hold));
+}
+
+awaitable<result<std::string>> read_body(http_connection& connection, millis timeout,
+                                         std::function<bool(std::size_t)> may_hold)
 {
     const process_clock time;
     const time_point deadline = time.now() + timeout;
@@ -263,11 +273,11 @@
         {
             co_return body;
         }
-        body += *part;
-        if (body.size() > most)
+        if (!may_hold(body.size() + part->size()))
         {
             co_return make_error_code(errc::too_large);
         }
+        body += *part;
     }
 }
 
--- a/endivestage/daemon/http_connection.hpp
+++ b/endivestage/daemon/http_connection.hpp
@@ -6,6 +6,7 @@
 #include <endivestage/daemon/http_types.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -73,4 +74,9 @@
 awaitable<result<std::string>> read_body(http_connection& connection, millis timeout,
                                          std::size_t most);
 
+/// \brief The same, with a limit that may depend on other bodies.
+/// \param may_hold Called with the size of the body so far; false gives errc::too_large.
+awaitable<result<std::string>> read_body(http_connection& connection, millis timeout,
+                                         std::function<bool(std::size_t)> may_hold);
+
 } // namespace endivestage::daemon
--- a/endivestage/routing.hpp
+++ b/endivestage/routing.hpp
@@ -13,10 +13,12 @@
 ///  - prompt_quarantine (routing/prompt_quarantine.hpp): parts of prompts that crash engines
 ///  - quarantine_records (routing/quarantine_records.hpp): who stores these parts for restarts
 ///  - may_act (routing/staggering.hpp): which routers do work first that any of them can do
+///  - buffer_budget (routing/buffer_budget.hpp): memory for answers that are being read
 ///  - remote_clock, freshness_lease (routing/freshness_lease.hpp): how long table copies are valid
 #pragma once
 
 #include <endivestage/routing/attempt_policy.hpp>
+#include <endivestage/routing/buffer_budget.hpp>
 #include <endivestage/routing/endpoint_choice.hpp>
 #include <endivestage/routing/endpoint_directory.hpp>
 #include <endivestage/routing/freshness_lease.hpp>
--- a/endivestage/serving/event_framer.hpp
+++ b/endivestage/serving/event_framer.hpp
@@ -29,6 +29,9 @@
     /// of a complete stream.
     std::string take_remainder();
 
+    /// \returns Number of bytes that are kept because their event is not complete.
+    std::size_t pending_bytes() const { return buf_.size(); }
+
     /// \returns Whether a stream that ends with the bytes received so far is incomplete, since an
     /// event lacks its final blank line or a line lacks its end. Comments and blank lines after the
     /// last event are no event.
--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -88,7 +88,8 @@
       state_(state),
       request_(std::move(request)),
       decoded_(std::move(decoded)),
-      caller_(caller)
+      caller_(caller),
+      response_share_(state.response_memory)
 {
 }
 
@@ -436,6 +437,7 @@
     log_placement(info);
     const millis max_wait = first_response_timeout(*route_, history_, time);
     ++history_.sends;
+    response_share_.release();
     beyond_first_event_ = false;
     connection_->send(state_.codec.encode_request(request_, info));
     const endpoint_outcome outcome = co_await read_response(endpoint, max_wait);
@@ -533,7 +535,8 @@
                    {"endpoint", last_endpoint_},
                    {"status", response.head.status}});
         result<std::string> skipped_body =
-            co_await daemon::read_body(*connection_, deadline - state_.time.now(), max_body_bytes);
+            co_await read_response_body(deadline - state_.time.now());
+        response_share_.release();
         if (!skipped_body)
         {
             co_return skipped_body.error();
@@ -578,10 +581,33 @@
     co_return co_await forward_events(first_event_deadline);
 }
 
-awaitable<endpoint_outcome> exchange::forward_body()
+awaitable<result<std::string>> exchange::read_response_body(millis timeout)
 {
+    std::function<bool(std::size_t)> may_hold = [this](std::size_t bytes)
+    {
+        return bytes <= max_body_bytes && response_share_.resize(bytes);
+    };
     result<std::string> body =
-        co_await daemon::read_body(*connection_, time_left(), max_body_bytes);
+        co_await daemon::read_body(*connection_, timeout, std::move(may_hold));
+    if (!body && body.error() == errc::too_large)
+    {
+        log_too_large();
+    }
+    co_return body;
+}
+
+void exchange::log_too_large() const
+{
+    log_event(log_level::warning, "answer_too_large",
+              {{"request", decoded_.id},
+               {"endpoint", last_endpoint_},
+               {"bytes", response_share_.held()},
+               {"all_bytes", state_.response_memory.in_use()}});
+}
+
+awaitable<endpoint_outcome> exchange::forward_body()
+{
+    result<std::string> body = co_await read_response_body(time_left());
     const response_info& info = response_.info;
     if (info.misdirected)
     {
@@ -671,6 +697,11 @@
         {
             co_return endpoint_outcome::broken;
         }
+        if (!response_share_.resize(framer_.pending_bytes()))
+        {
+            log_too_large();
+            co_return endpoint_outcome::broken;
+        }
         if (!events.empty())
         {
             if (first)
--- a/endivestage/serving/exchange.hpp
+++ b/endivestage/serving/exchange.hpp
@@ -51,6 +51,7 @@
     daemon::awaitable<bool> open_connection(endpoint_record endpoint);
     daemon::awaitable<endpoint_outcome> read_response(endpoint_record endpoint, millis max_wait);
     daemon::awaitable<result<received_response>> read_matching_head(millis max_wait);
+    daemon::awaitable<result<std::string>> read_response_body(millis timeout);
     daemon::awaitable<endpoint_outcome> forward_body();
     daemon::awaitable<endpoint_outcome> forward_events(time_point first_event_deadline);
     daemon::awaitable<bool> deliver_events(std::string events);
@@ -59,6 +60,7 @@
     daemon::awaitable<void> finish_after_failure(next_step step, endpoint_outcome outcome);
     void record_endpoint_state(const endpoint_id& endpoint, const response_info& info);
     void log_placement(const forwarding_info& info) const;
+    void log_too_large() const;
     void release_connection(const endpoint_id& endpoint);
     void record_end(std::string_view result, int status) const;
     void end_without_caller();
@@ -89,6 +91,7 @@
     endpoint_id last_endpoint_;
     received_response response_;
     std::string response_body_;
+    buffer_share response_share_; ///< Memory of the answer that is being read.
     event_framer framer_;
 };
 
--- a/endivestage/serving/router_metrics.cpp
+++ b/endivestage/serving/router_metrics.cpp
@@ -72,6 +72,8 @@
               static_cast<double>(values.endpoints));
     set_gauge("endivestage_routers", "Routers that may be running, this one included.",
               static_cast<double>(values.routers));
+    set_gauge("endivestage_response_bytes", "Bytes of answers that are being read.",
+              static_cast<double>(values.response_bytes));
     set_gauge("endivestage_config_version", "Version of the configuration in force.",
               static_cast<double>(values.config_version));
     set_gauge("endivestage_copy_age_seconds",
--- a/endivestage/serving/router_state.hpp
+++ b/endivestage/serving/router_state.hpp
@@ -70,6 +70,10 @@
     /// Margin for the transmission of a request to the router and for delayed readings of the
     /// clock.
     static constexpr millis revocation_margin{1200};
+    static constexpr std::size_t default_host_memory = 160UL * 1024 * 1024;
+    /// Answers that are being read take at most this part of the host's memory. Strings that grow
+    /// take twice their size for a moment, and requests take memory too.
+    static constexpr std::size_t response_memory_divisor = 4;
     /// A stale copy is refreshed this long before it can no longer be used.
     static constexpr millis lease_reserve{600};
 
@@ -87,6 +91,7 @@
     std::vector<router_id> routers;   ///< Routers that may be running, this one included.
     router_metrics metrics;
     connection_pool pool;
+    buffer_budget response_memory{default_host_memory / response_memory_divisor};
     prefix_directory prefixes;
     std::vector<prefix_sighting> pending_sightings; ///< Sightings not yet sent to other routers.
     prompt_quarantine quarantine;
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -124,6 +124,8 @@
       quarantine_records_(hash64(settings_.name.view()))
 {
     state_.routers = {settings_.name};
+    state_.response_memory =
+        buffer_budget(settings_.memory / router_state::response_memory_divisor);
     state_.random = seeded_random(
         hash64(settings_.name.view(), static_cast<std::uint64_t>(time_.wall_now().since_epoch)));
 }
@@ -528,6 +530,7 @@
     gauges.idle_connections = state_.pool.size();
     gauges.endpoints = state_.endpoints.size();
     gauges.routers = state_.routers.size();
+    gauges.response_bytes = state_.response_memory.in_use();
     gauges.config_version = state_.routes ? state_.routes->version() : 0;
     gauges.ready = state_.is_ready();
     gauges.quarantined_parts = state_.quarantine.quarantined(time_.now());
--- a/endivestage/serving/settings.hpp
+++ b/endivestage/serving/settings.hpp
@@ -27,6 +27,7 @@
     daemon::network_address table_service;
     bool first_start = false; ///< The whole fleet starts for the first time.
     double cpu_share = 1.0;   ///< Processor cores that the host grants; may be a fraction.
+    std::size_t memory = router_state::default_host_memory; ///< Bytes that the host grants.
     server_bounds bounds;
 };
 
--- a/tests/daemon_endpoint_trouble_test.cpp
+++ b/tests/daemon_endpoint_trouble_test.cpp
@@ -6,6 +6,9 @@
 
 #include <standin/platform_engine.hpp>
 
+#include <boost/asio/detached.hpp>
+#include <fstream>
+
 using namespace endivestage;
 using namespace endivestage::test;
 using standin::make_chunk;
@@ -64,8 +67,69 @@
     return head.replace(head.find(length), length.size(), "Content-Length: 60000000\r\n");
 }
 
+/// \returns The most memory that this process has had so far, in bytes.
+std::size_t peak_memory()
+{
+    std::ifstream status("/proc/self/status");
+    for (std::string line; std::getline(status, line);)
+    {
+        if (line.starts_with("VmHWM:"))
+        {
+            return std::stoul(line.substr(6)) * 1024;
+        }
+    }
+    return 0;
+}
+
 } // namespace
 
+// Guards against a router that runs out of memory, and ends the requests of all its callers,
+// because a faulty engine answers many requests at once with bytes that never end.
+TEST_CASE("many bodies that flood without end take bounded memory")
+{
+    constexpr int requests = 24;
+    constexpr std::size_t host_memory = 64UL * 1024 * 1024;
+    fleet f;
+    f.settings.memory = host_memory;
+    f.add_engine(
+        "e1",
+        respond_endlessly(
+            [](const http_request& request) {
+                return std::vector<std::string>{long_body_head(request), std::string(65536, 'x')};
+            },
+            millis{0}));
+    f.start_router();
+    const std::size_t before = peak_memory();
+    REQUIRE(before > 0);
+    int ended = 0;
+    int unknown = 0;
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            for (int n = 0; n < requests; ++n)
+            {
+                asio::co_spawn(
+                    f.context,
+                    [&]() -> awaitable<void>
+                    {
+                        const http_response response = co_await f.send_request("POST", "/o/");
+                        unknown += response.status == 502 || response.status == 504 ? 1 : 0;
+                        ++ended;
+                    },
+                    asio::detached);
+            }
+            while (ended < requests)
+            {
+                co_await f.pause(5);
+            }
+            f.engines.front()->respond = respond_ok();
+            const http_response next = co_await f.send_request("POST", "/o/");
+            REQUIRE(next.status == 200);
+        });
+    REQUIRE(unknown == requests);
+    REQUIRE(peak_memory() - before < host_memory);
+}
+
 // Guards against a request that waits for a body of which one byte comes now and then.
 TEST_CASE("a body that trickles without end is given up at the deadline")
 {
--- a/tests/daemon_serving_settings_test.cpp
+++ b/tests/daemon_serving_settings_test.cpp
@@ -43,6 +43,13 @@
     REQUIRE(outcome.settings.bounds.max_drain_delay == millis{2500});
     REQUIRE(outcome.settings.bounds.repeats.window == millis{10000});
     REQUIRE(outcome.settings.table_service.port == 80);
+    REQUIRE(outcome.settings.memory == router_state::default_host_memory);
+    const std::string with_memory =
+        replace(good, "\"cpu_share\":0.25", "\"cpu_share\":0.25,\"memory_mb\":260");
+    REQUIRE(parse_server_settings(with_memory).settings.memory == 260UL * 1024 * 1024);
+    const std::string bad_memory =
+        replace(good, "\"cpu_share\":0.25", "\"cpu_share\":0.25,\"memory_mb\":1");
+    REQUIRE(has_fault(parse_server_settings(bad_memory), "router.memory_mb", "out_of_range"));
 }
 
 // All faults are reported at once, so that an operator need not fix them one at a time.
