Refuse late requests in a short planned stop too

What callers saw, as operators of a similar system report: requests that come late in a planned stop are taken, passed on and cut at its end, also requests that may not be repeated. Cause: a stopping router refused requests that may outlast it only once the directory's answers had expired, 2.5 s after SIGTERM. With a grace of 3 s it exits before that. Change: it refuses them, as not run and with Retry-After, also once half of the grace has passed. Before: the new test in daemon_planned_stop_test failed; a stream and an order 1.7 s into a grace of 3 s reached the engine. After: both get 503 and reach no engine. With a grace of 8 s nothing changes.

--- a/endivestage/serving/router_state.hpp
+++ b/endivestage/serving/router_state.hpp
@@ -99,8 +99,8 @@
     endpoint_choice_config choice;
     lifecycle_state lifecycle = lifecycle_state::starting;
     std::size_t open_requests = 0;
-    /// Set once a stopping router has left all address responses: a request that may take longer is
-    /// refused, since other routers can complete it.
+    /// Set once a stopping router has left all address responses or half of its time has passed: a
+    /// request that may take longer is refused, since other routers can complete it.
     std::optional<time_point> completion_limit;
 
     /// \returns Whether requests are accepted and the operator's table is recent enough.
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -641,9 +641,13 @@
             refusing = refusing || action == stop_action::refuse_connections;
             done = done || action == stop_action::exit;
         }
-        if (refusing)
+        // Where the stop's time is short, it ends before the address responses have expired.
+        if (refusing || time_.now() - started_at >= settings_.bounds.stop_grace / 2)
         {
             state_.completion_limit = deadline - delivery_margin;
+        }
+        if (refusing)
+        {
             caller_server_.stop_accepting();
             caller_server_.close_idle();
         }
--- a/tests/daemon_planned_stop_test.cpp
+++ b/tests/daemon_planned_stop_test.cpp
@@ -176,6 +176,37 @@
         });
 }
 
+// Guards against requests that a stopping router takes late and cuts or leaves unknown at its exit,
+// where callers may use its address for as long as it runs.
+TEST_CASE("a stopping router with little time refuses requests that may outlast it")
+{
+    fleet f;
+    f.add_engine("e1",
+                 [](const http_request&) {
+                     return engine_reply{{}, millis{0}, engine_reply::connection_action::hang};
+                 });
+    f.settings.bounds.address_lifetime = millis{5000};
+    f.settings.bounds.stop_grace = millis{3000};
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            pipelining_caller stream(f.context, f.settings.callers);
+            pipelining_caller order(f.context, f.settings.callers);
+            f.router->stop();
+            co_await f.pause(1700);
+            stream.send("/s/", "late-stream", 5000);
+            order.send("/o/", "late-order", 5000);
+            co_await stream.read_until("\"not_run\"");
+            REQUIRE(stream.has_received("HTTP/1.1 503"));
+            REQUIRE(stream.has_received("Retry-After: "));
+            co_await order.read_until("\"not_run\"");
+            REQUIRE(order.has_received("HTTP/1.1 503"));
+            REQUIRE(count_received(*f.engines.front(), "late-stream") == 0);
+            REQUIRE(count_received(*f.engines.front(), "late-order") == 0);
+        });
+}
+
 // Guards against a router that joins its fleet after it was asked to stop: the others name it in
 // address answers.
 TEST_CASE("a router that stops before the store has answered does not join its fleet")
