Follow tables with records that no router can read

What callers saw, as operators of a similar system report: one odd entry among those of the engines, and hosts end or stop following the list. Cause: no process ended here. Relays quote records as JSON texts and readers accepted UTF-8 only, so one record with other bytes made a relay's responses unreadable. Change: responses of relays may quote any bytes.

--- a/endivestage/daemon/json_access.cpp
+++ b/endivestage/daemon/json_access.cpp
@@ -12,10 +12,11 @@
 
 } // namespace
 
-result<json::object> parse_json_object(std::string_view text)
+result<json::object> parse_json_object(std::string_view text, json_text texts)
 {
     json::parse_options options;
     options.max_depth = max_depth;
+    options.allow_invalid_utf8 = texts == json_text::bytes;
     json::error_code ec;
     json::value value = json::parse({text.data(), text.size()}, ec, {}, options);
     if (ec || !value.is_object())
--- a/endivestage/daemon/json_access.hpp
+++ b/endivestage/daemon/json_access.hpp
@@ -12,9 +12,17 @@
 namespace endivestage::daemon
 {
 
+/// \brief Which bytes the texts of a JSON document may contain.
+enum class json_text
+{
+    utf8,  ///< Valid UTF-8 only.
+    bytes, ///< Any bytes; for documents of other routers, which quote rows of any writer.
+};
+
 /// \brief Parses a JSON object of bounded depth.
 /// \returns The object, or errc::invalid_request.
-result<boost::json::object> parse_json_object(std::string_view text);
+result<boost::json::object> parse_json_object(std::string_view text,
+                                              json_text texts = json_text::utf8);
 
 /// \returns The member as text; empty when absent or of another type.
 std::string get_text(const boost::json::object& object, std::string_view key);
--- a/endivestage/serving/replication_service.cpp
+++ b/endivestage/serving/replication_service.cpp
@@ -527,7 +527,7 @@
 
 std::error_code replication_service::apply_peer_response(std::string_view body, time_point sent_at)
 {
-    result<json::object> response = daemon::parse_json_object(body);
+    result<json::object> response = daemon::parse_json_object(body, daemon::json_text::bytes);
     if (!response)
     {
         return response.error();
