Act on what endpoints say of themselves in their answers

Cause: a router learnt from the table of endpoints alone that an endpoint leaves, and dropped the Retry-After of a 503. Change: platform/ decodes Server-Leaving and Retry-After. endpoint_notices, a pure module of routing/, keeps them by incarnation and selects the endpoints that may get a request; the choice uses it, and the endpoint is checked again after a connection was opened. A leaving endpoint's idle connections are closed; it is used only as the last of its service, until 0.5 s before drain_ms. Where all endpoints hold off, a request is refused at once with the first return, at most a third of its time left. Before: nothing read either field. Conclusion: items 1 to 4 of the issue; of 5 the soak is missing, and 6 is not measured yet. Notices are not shared among routers.

--- a/endivestage/routing.hpp
+++ b/endivestage/routing.hpp
@@ -5,6 +5,7 @@
 /// Contents:
 ///  - route_table, route, service_profile (routing/route_table.hpp): one configuration version
 ///  - endpoint_directory, endpoint_state (routing/endpoint_directory.hpp): state of all endpoints
+///  - endpoint_notices (routing/endpoint_notices.hpp): what endpoints say of themselves in answers
 ///  - rank_endpoints (routing/endpoint_choice.hpp): order in which endpoints are tried
 ///  - decide_next_step, first_response_timeout (routing/attempt_policy.hpp): retry decisions
 ///  - repeat_budget, cold_send_share (routing/send_limits.hpp): one router's share of fleet limits
@@ -21,6 +22,7 @@
 #include <endivestage/routing/buffer_budget.hpp>
 #include <endivestage/routing/endpoint_choice.hpp>
 #include <endivestage/routing/endpoint_directory.hpp>
+#include <endivestage/routing/endpoint_notices.hpp>
 #include <endivestage/routing/freshness_lease.hpp>
 #include <endivestage/routing/load_aggregator.hpp>
 #include <endivestage/routing/prefix_directory.hpp>
--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -235,8 +235,11 @@
 {
     const time_point now = state_.time.now();
     const std::vector<const endpoint_state*> available = state_.endpoints.available(service_, now);
+    const usable_endpoints usable =
+        state_.notices.select(available, state_.bounds.max_drain_delay, now);
+    first_return_ = usable.first_return;
     endpoint_choice_input input;
-    input.endpoints = available;
+    input.endpoints = usable.endpoints;
     input.tried = tried_;
     input.now = now;
     input.chat_hash = decoded_.chat_hash;
@@ -259,6 +262,22 @@
     return nullptr;
 }
 
+bool exchange::is_usable(const endpoint_record& endpoint) const
+{
+    const time_point now = state_.time.now();
+    if (!state_.notices.is_leaving(endpoint) &&
+        state_.notices.hold_off_left(endpoint, now) == millis{0})
+    {
+        return true;
+    }
+    const std::vector<const endpoint_state*> available = state_.endpoints.available(service_, now);
+    const usable_endpoints usable =
+        state_.notices.select(available, state_.bounds.max_drain_delay, now);
+    return std::any_of(usable.endpoints.begin(), usable.endpoints.end(),
+                       [&](const endpoint_state* candidate)
+                       { return candidate->record.id == endpoint.id; });
+}
+
 std::optional<daemon::network_address> exchange::find_copy_source(const endpoint_id& target) const
 {
     const time_point now = state_.time.now();
@@ -380,8 +399,14 @@
     if (step == next_step::refuse && history_.possible_executions == 0)
     {
         const bool unreachable = outcome == endpoint_outcome::unreachable;
+        millis retry_after = retry_after_overload;
+        if (first_return_)
+        {
+            // Later than that the caller would have too little time left for another try.
+            retry_after = std::min(*first_return_, std::max(millis{0}, time_left() / 3));
+        }
         co_await send_error(503, unreachable ? errc::no_endpoint : errc::overloaded,
-                            execution::not_run, retry_after_overload);
+                            execution::not_run, retry_after);
         co_return;
     }
     const bool out_of_time = time_left() <= millis{5};
@@ -427,6 +452,13 @@
     {
         co_return endpoint_outcome::shed;
     }
+    // The endpoint may have said so while the connection was opened.
+    if (!is_usable(endpoint))
+    {
+        release_connection(endpoint);
+        connection_.reset();
+        co_return endpoint_outcome::shed;
+    }
     forwarding_info info;
     info.endpoint = endpoint.id;
     info.team = team_;
@@ -447,7 +479,7 @@
     }
     if (outcome != endpoint_outcome::broken)
     {
-        release_connection(endpoint.id);
+        release_connection(endpoint);
     }
     else
     {
@@ -500,11 +532,11 @@
          {"left_ms", info.time_left}});
 }
 
-void exchange::release_connection(const endpoint_id& endpoint)
+void exchange::release_connection(const endpoint_record& endpoint)
 {
-    if (connection_->reusable())
+    if (connection_->reusable() && !state_.notices.is_leaving(endpoint))
     {
-        state_.pool.release(endpoint, connection_,
+        state_.pool.release(endpoint.id, connection_,
                             response_.info.idle_timeout.value_or(default_idle_timeout));
     }
     else
@@ -545,16 +577,60 @@
     co_return make_error_code(errc::answer_mismatch);
 }
 
-void exchange::record_endpoint_state(const endpoint_id& endpoint, const response_info& info)
+void exchange::record_endpoint_state(const endpoint_record& endpoint, const response_info& info)
 {
     const time_point now = state_.time.now();
     if (info.load)
     {
-        state_.endpoints.record_load_report(endpoint, *info.load, now);
+        state_.endpoints.record_load_report(endpoint.id, *info.load, now);
     }
     if (info.cold_left && *info.cold_left > millis{0})
     {
-        state_.endpoints.record_cold_report(endpoint, *info.cold_left, now);
+        state_.endpoints.record_cold_report(endpoint.id, *info.cold_left, now);
+    }
+    // Another endpoint answered if the address belongs to it.
+    if (!info.misdirected)
+    {
+        record_notices(endpoint, info);
+    }
+}
+
+void exchange::record_notices(const endpoint_record& endpoint, const response_info& info)
+{
+    const time_point now = state_.time.now();
+    const std::optional<millis> copy_age = state_.operations_lease.age(now);
+    if (info.malformed_notice)
+    {
+        state_.metrics.record_notice("malformed");
+        log_event(log_level::warning, "endpoint_notice_malformed",
+                  {{"request", decoded_.id}, {"endpoint", endpoint.id}});
+    }
+    if (info.leaving)
+    {
+        state_.metrics.record_notice("leaving");
+        if (state_.notices.record_leaving(endpoint, now))
+        {
+            state_.pool.close_all(endpoint.id);
+            log_event(log_level::info, "endpoint_avoided",
+                      {{"request", decoded_.id},
+                       {"endpoint", endpoint.id},
+                       {"notice", "leaving"},
+                       {"bound_ms", state_.bounds.max_drain_delay},
+                       {"copy_age_ms", copy_age.value_or(millis{-1})}});
+        }
+    }
+    if (info.hold_off)
+    {
+        state_.metrics.record_notice("hold_off");
+        if (state_.notices.record_hold_off(endpoint, *info.hold_off, now))
+        {
+            log_event(log_level::info, "endpoint_avoided",
+                      {{"request", decoded_.id},
+                       {"endpoint", endpoint.id},
+                       {"notice", "hold_off"},
+                       {"bound_ms", state_.notices.hold_off_left(endpoint, now)},
+                       {"copy_age_ms", copy_age.value_or(millis{-1})}});
+        }
     }
 }
 
@@ -566,7 +642,7 @@
     {
         co_return endpoint_outcome::broken;
     }
-    record_endpoint_state(endpoint.id, response->info);
+    record_endpoint_state(endpoint, response->info);
     if (!response->info.success || !response->info.is_event_stream)
     {
         response_ = std::move(*response);
--- a/endivestage/serving/exchange.hpp
+++ b/endivestage/serving/exchange.hpp
@@ -58,10 +58,13 @@
     daemon::awaitable<void> send_error(int status, errc code, execution state,
                                        std::optional<millis> retry_after);
     daemon::awaitable<void> finish_after_failure(next_step step, endpoint_outcome outcome);
-    void record_endpoint_state(const endpoint_id& endpoint, const response_info& info);
+    /// \returns Whether an endpoint that was chosen may still get the request.
+    bool is_usable(const endpoint_record& endpoint) const;
+    void record_endpoint_state(const endpoint_record& endpoint, const response_info& info);
+    void record_notices(const endpoint_record& endpoint, const response_info& info);
     void log_placement(const forwarding_info& info) const;
     void log_too_large() const;
-    void release_connection(const endpoint_id& endpoint);
+    void release_connection(const endpoint_record& endpoint);
     void record_end(std::string_view result, int status) const;
     void end_without_caller();
     millis time_left() const;
@@ -88,6 +91,8 @@
     attempt_history history_;
     std::vector<endpoint_id> tried_;
     rendezvous_pair rendezvous_pair_;
+    /// Time until an endpoint returns, if all endpoints want no requests for a while.
+    std::optional<millis> first_return_;
     endpoint_id last_endpoint_;
     received_response response_;
     std::string response_body_;
--- a/endivestage/serving/router_metrics.cpp
+++ b/endivestage/serving/router_metrics.cpp
@@ -34,6 +34,14 @@
         .add();
 }
 
+void router_metrics::record_notice(std::string_view kind)
+{
+    registry_
+        .get_counter("endivestage_endpoint_notices_total",
+                     "What endpoints said of themselves in answers.", {{"kind", std::string(kind)}})
+        .add();
+}
+
 void router_metrics::record_first_event(millis latency)
 {
     registry_
@@ -72,6 +80,9 @@
               static_cast<double>(values.endpoints));
     set_gauge("endivestage_routers", "Routers that may be running, this one included.",
               static_cast<double>(values.routers));
+    set_gauge("endivestage_endpoint_notices",
+              "Endpoints that leave or want no requests by their own answers.",
+              static_cast<double>(values.notices));
     set_gauge("endivestage_response_bytes", "Bytes of answers that are being read.",
               static_cast<double>(values.response_bytes));
     set_gauge("endivestage_config_version", "Version of the configuration in force.",
--- a/endivestage/serving/router_metrics.hpp
+++ b/endivestage/serving/router_metrics.hpp
@@ -23,7 +23,8 @@
     std::uint64_t config_version = 0;
     std::uint64_t store_calls = 0;     ///< Calls to the table service since start.
     std::size_t quarantined_parts = 0; ///< Parts of prompts that are kept from engines.
-    std::size_t response_bytes = 0;    ///< Memory of answers that are being read.
+    std::size_t notices = 0; ///< Endpoints that said of themselves that they want no requests.
+    std::size_t response_bytes = 0; ///< Memory of answers that are being read.
     millis copy_age{-1};           ///< Age of the operator's table; negative before the first copy.
     millis endpoints_copy_age{-1}; ///< Age of the endpoints' table; negative before the first copy.
     bool relaying = false;
@@ -39,6 +40,9 @@
     /// \param duration Time from the first byte of the request to the end of its response.
     void record_request(std::string_view result, bool streaming, millis duration);
     void record_attempt(endpoint_outcome outcome);
+    /// \brief Counts what an endpoint said of itself in an answer.
+    /// \param kind "leaving", "hold_off" or "malformed".
+    void record_notice(std::string_view kind);
     /// \param latency Time from the first byte of the request to the first event of its stream.
     void record_first_event(millis latency);
     void record_connection(bool success);
--- a/endivestage/serving/router_state.hpp
+++ b/endivestage/serving/router_state.hpp
@@ -63,7 +63,8 @@
           cold_limiter(self),
           operations_lease(b.max_revocation_delay - revocation_margin),
           pool(t),
-          quarantine(hash64(self.view()))
+          quarantine(hash64(self.view())),
+          notices(hash64(self.view()))
     {
     }
 
@@ -97,6 +98,7 @@
     prompt_quarantine quarantine;
     std::vector<queued_part_report> pending_part_reports; ///< Not yet sent to other routers.
     endpoint_choice_config choice;
+    endpoint_notices notices;
     lifecycle_state lifecycle = lifecycle_state::starting;
     std::size_t open_requests = 0;
     /// Set once a stopping router has left all address responses or half of its time has passed: a
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -530,6 +530,7 @@
     gauges.idle_connections = state_.pool.size();
     gauges.endpoints = state_.endpoints.size();
     gauges.routers = state_.routers.size();
+    gauges.notices = state_.notices.size();
     gauges.response_bytes = state_.response_memory.in_use();
     gauges.config_version = state_.routes ? state_.routes->version() : 0;
     gauges.ready = state_.is_ready();
@@ -599,6 +600,10 @@
         record_loop_delay(time_.now() - due);
         state_.pool.expire();
         daemon::flush_log();
+        for (const endpoint_id& returned : state_.notices.expire(state_.endpoints, time_.now()))
+        {
+            log_event(log_level::info, "endpoint_returned", {{"endpoint", returned}});
+        }
         for (const endpoint_id& expired : state_.endpoints.expire(time_.now()))
         {
             log_event(log_level::info, "endpoint_forgotten", {{"endpoint", expired}});
--- a/endivestage/serving/wire_codec.hpp
+++ b/endivestage/serving/wire_codec.hpp
@@ -55,6 +55,13 @@
     std::optional<double> load;      ///< Requests that the endpoint runs or queues.
     std::optional<millis> cold_left; ///< Time for which the endpoint stays cold.
     std::optional<millis> idle_timeout; ///< The endpoint closes idle connections after this.
+    bool leaving = false;               ///< The endpoint will stop soon.
+    /// The endpoint refused the request and wants no further ones for this time.
+    std::optional<millis> hold_off;
+    /// A field that would say either has a value that is not allowed. Such a value is ignored: the
+    /// endpoint's record still tells that it leaves, and a refusal without a time is not repeated
+    /// at the same endpoint. Of several allowed values the strictest one counts.
+    bool malformed_notice = false;
 };
 
 /// \brief Converts between HTTP messages and the router's types.
