Read the memory setting without an integer division

Cause: the linter refuses the integer division in the fallback of router.memory_mb. Change: the conversion is in floating point.

--- a/endivestage/serving/settings.cpp
+++ b/endivestage/serving/settings.cpp
@@ -16,7 +16,7 @@
 /// Callers use the addresses of dead routers for up to this long; a shorter time would cost more
 /// address requests.
 constexpr millis max_address_lifetime{2000};
-constexpr std::size_t bytes_per_mb = 1024UL * 1024;
+constexpr double bytes_per_mb = 1024.0 * 1024.0;
 
 /// Reads settings and collects the faults found in them.
 class settings_reader
@@ -150,10 +150,9 @@
     settings.peer_port =
         static_cast<std::uint16_t>(reader.read_number("router", "peer_port", 1, 65535));
     settings.cpu_share = reader.read_number("router", "cpu_share", 0.001, 1024);
-    settings.memory = static_cast<std::size_t>(
-        reader.read_optional_number("router", "memory_mb", 16, 1 << 20,
-                                    static_cast<double>(settings.memory / bytes_per_mb)) *
-        static_cast<double>(bytes_per_mb));
+    const double memory_mb = reader.read_optional_number(
+        "router", "memory_mb", 16, 1 << 20, static_cast<double>(settings.memory) / bytes_per_mb);
+    settings.memory = static_cast<std::size_t>(memory_mb * bytes_per_mb);
     settings.first_start = reader.read_flag("router", "first_start");
     settings.callers = reader.read_address("listen", "callers");
     settings.readiness = reader.read_address("listen", "readiness");
