Keep one copy of the search for a following router

Cause: two tests had the same function. Change: it is in the fixture that both use. Before: duplicates named the pair. After: one copy; daemon_odd_record_test passes. Conclusion: tests only.

--- a/tests/daemon_odd_record_test.cpp
+++ b/tests/daemon_odd_record_test.cpp
@@ -21,22 +21,6 @@
     return R"({"service":)" + std::string(depth, '[') + std::string(depth, ']') + "}";
 }
 
-/// \returns The name of a router that does not become the primary relay beside \p primary.
-router_id name_below(const router_id& primary)
-{
-    for (int n = 2;; ++n)
-    {
-        router_id name("r" + std::to_string(n));
-        const std::vector<relay_candidate> fleet{{primary, zone_id("zone-a"), 1.0},
-                                                 {name, zone_id("zone-a"), 1.0}};
-        const std::vector<router_id> relays{primary, name};
-        if (source_choice::choose_primary(fleet, relays) == primary)
-        {
-            return name;
-        }
-    }
-}
-
 } // namespace
 
 // Guards against routers that stop following the endpoints' records: a record with bytes that are
--- a/tests/daemon_platform_path_test.cpp
+++ b/tests/daemon_platform_path_test.cpp
@@ -758,27 +758,6 @@
         });
 }
 
-namespace
-{
-
-/// \returns The name of a router that does not take over as the primary relay from \p primary.
-router_id name_below(const router_id& primary)
-{
-    for (int n = 2;; ++n)
-    {
-        router_id name("r" + std::to_string(n));
-        const std::vector<relay_candidate> fleet{{primary, zone_id("zone-a"), 1.0},
-                                                 {name, zone_id("zone-a"), 1.0}};
-        const std::vector<router_id> relays{primary, name};
-        if (source_choice::choose_primary(fleet, relays) == primary)
-        {
-            return name;
-        }
-    }
-}
-
-} // namespace
-
 // Load: each of 295 starting routers read all tables from the store and polled it until it had
 // heard from the others. A starting router takes the tables from a router that has them.
 TEST_CASE("a router that joins a fleet reads one table from the store")
--- a/tests/platform_fleet.hpp
+++ b/tests/platform_fleet.hpp
@@ -54,6 +54,22 @@
     return first_port + used++;
 }
 
+/// \returns The name of a router that does not take over as the primary relay from \p primary.
+inline router_id name_below(const router_id& primary)
+{
+    for (int n = 2;; ++n)
+    {
+        router_id name("r" + std::to_string(n));
+        const std::vector<relay_candidate> fleet{{primary, zone_id("zone-a"), 1.0},
+                                                 {name, zone_id("zone-a"), 1.0}};
+        const std::vector<router_id> relays{primary, name};
+        if (source_choice::choose_primary(fleet, relays) == primary)
+        {
+            return name;
+        }
+    }
+}
+
 inline const char* const configuration = R"({"version":3,"routes":[
  {"name":"stream","host":"t.example","path_prefix":"/s/","route_type":"streaming","timeout_ms":6000,"slo_ms":800,
   "priority":1,"service":"pool","max_attempts":1,"anonymous":false,"sticky":true,"resumable":false},
