Let the soak's engines say that they leave or want a pause

Change: engines that drain say so in their answers, and full engines ask for a pause in one of three refusals, in another in a form that is not allowed. Before: not played. Conclusion: both are played beside all other faults; that a router keeps to a pause is not checked, since engines do not see which router sent a request.

--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -278,9 +278,19 @@
     engine_reply reply;
     const std::string id = standin::request_id(request);
     const bool addressed = standin::is_addressed_to(request, engine.id);
-    if (!addressed || engine.behavior == engine_behavior::full)
+    const std::string notice = engine.draining ? "Server-Leaving: 1\r\n" : "";
+    if (!addressed)
     {
-        reply.pieces.push_back(standin::make_not_executed(request, addressed ? 503 : 421));
+        reply.pieces.push_back(standin::make_not_executed(request, 421));
+        return reply;
+    }
+    if (engine.behavior == engine_behavior::full)
+    {
+        // Some engines ask for a pause; a few say so in a form that is not allowed.
+        constexpr std::array pauses{"", "Retry-After: 0.4\r\n", "Retry-After: soon\r\n"};
+        const std::string pause = pauses[derive_number(id, pauses.size())];
+        reply.pieces.push_back(
+            standin::make_response(request, 503, {}, "X-Not-Executed: 1\r\n" + notice + pause));
         return reply;
     }
     checker.record_execution(id, engine.id, engine.zone, now());
@@ -313,7 +323,8 @@
     if (!is_stream(request))
     {
         reply.delay = millis{static_cast<std::int64_t>(slow_ms)};
-        const std::string complete = standin::make_response(request, 200, expected_body(id));
+        const std::string complete =
+            standin::make_response(request, 200, expected_body(id), notice);
         reply.pieces.push_back(truncated ? complete.substr(0, complete.size() - 3) : complete);
         return reply;
     }
