Pause after a refresh that fails for the endpoints' table

Cause: since a copy's age counts for both tables, a router whose refresh succeeds for the operator's table and fails for the endpoints' one stays stale, and refreshed again at once, as fast as the table service answers. Found while reading the change. Change: a failure of either table is followed by the delay of failed calls, and the router asks a relay next.

--- a/endivestage/serving/replication_service.cpp
+++ b/endivestage/serving/replication_service.cpp
@@ -347,12 +347,14 @@
 
 awaitable<void> replication_service::refresh()
 {
-    const millis delay = co_await poll_service(shared_table::operations, millis{0});
-    if (service_states_.at(shared_table::operations).reachable)
+    millis delay = co_await poll_service(shared_table::operations, millis{0});
+    bool reachable = service_states_.at(shared_table::operations).reachable;
+    if (reachable)
     {
-        co_await poll_service(shared_table::endpoints, millis{0});
+        delay = co_await poll_service(shared_table::endpoints, millis{0});
+        reachable = service_states_.at(shared_table::endpoints).reachable;
     }
-    else
+    if (!reachable)
     {
         source_choice_.record_failure(self_, time_.now());
         co_await daemon::sleep_for(delay);
--- /dev/null
+++ b/tests/daemon_replication_test.cpp
@@ -0,0 +1,116 @@
+// The replication service with a mock of the table service.
+
+#include <endivestage/daemon/process_clock.hpp>
+#include <endivestage/daemon/sleep.hpp>
+#include <endivestage/serving/replication_service.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+
+using namespace endivestage;
+using namespace endivestage::serving;
+
+namespace
+{
+
+constexpr millis response_time{2};
+
+/// A table service whose feeds of the endpoints' table fail.
+class failing_feed final : public table_client
+{
+public:
+    daemon::awaitable<result<timestamped_batch>> list(shared_table) override
+    {
+        co_await daemon::sleep_for(response_time);
+        timestamped_batch response;
+        response.batch.revision = 1;
+        response.batch.complete = true;
+        response.timestamp = time_.now();
+        co_return response;
+    }
+
+    daemon::awaitable<result<timestamped_batch>>
+    fetch_changes(shared_table table, std::uint64_t revision, millis max_wait) override
+    {
+        ++feeds;
+        co_await daemon::sleep_for(response_time);
+        if (table == shared_table::endpoints)
+        {
+            co_return make_error_code(errc::overloaded);
+        }
+        co_await daemon::sleep_for(max_wait);
+        timestamped_batch response;
+        response.batch.revision = revision;
+        response.timestamp = time_.now();
+        co_return response;
+    }
+
+    daemon::awaitable<std::error_code> write(shared_table, std::string, std::string) override
+    {
+        co_return std::error_code{};
+    }
+
+    daemon::awaitable<std::error_code> erase(shared_table, std::string) override
+    {
+        co_return std::error_code{};
+    }
+
+    int feeds = 0;
+
+private:
+    daemon::process_clock time_;
+};
+
+/// \returns Two routers, of which \p self does not poll the table service for the other.
+std::vector<relay_peer> make_pair(const router_id& self)
+{
+    relay_peer own;
+    own.candidate = {self, zone_id("zone-a"), 0.1};
+    relay_peer other;
+    other.candidate = {router_id("other"), zone_id("zone-a"), 1.0};
+    other.address = {"127.0.0.1", 1};
+    return {own, other};
+}
+
+} // namespace
+
+// Load: each router of a fleet refreshes its copies. Guards against calls without a pause where the
+// table service answers for one table and refuses calls for the other.
+TEST_CASE("a refresh that fails for one table is not repeated at once")
+{
+    boost::asio::io_context context{1};
+    const daemon::process_clock time;
+    failing_feed tables;
+    const router_id self("self");
+    replication_callbacks callbacks;
+    callbacks.on_rows_changed = [](shared_table, std::span<const replicated_row>, bool) {
+    };
+    callbacks.on_current = [](time_point) {
+    };
+    callbacks.on_updated = [] {
+    };
+    callbacks.open_requests = []
+    {
+        return std::vector<engine_requests>{};
+    };
+    callbacks.on_fleet_loads = [](const load_changes&) {
+    };
+    callbacks.send_to_relay = [](const router_id&, std::span<const engine_requests>) {
+    };
+    callbacks.live_routers = [&]
+    {
+        return make_pair(self);
+    };
+    callbacks.registered_routers = callbacks.live_routers;
+    replication_service service(context, time, tables, self,
+                                source_choice({}, self, zone_id("zone-a")), std::move(callbacks));
+    change_batch routers;
+    routers.revision = 1;
+    routers.complete = true;
+    service.start(routers, false);
+    context.run_for(std::chrono::milliseconds(5000));
+    REQUIRE(service.is_complete());
+    REQUIRE(tables.feeds > 2);
+    REQUIRE(tables.feeds < 60);
+}
