--- /dev/null
+++ b/endivestage/serving/exchange_attempt.cpp
@@ -0,0 +1,304 @@
+#include <endivestage/serving/exchange.hpp>
+
+#include <endivestage/daemon/logging.hpp>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+namespace endivestage::serving
+{
+
+using daemon::awaitable;
+using daemon::log_event;
+using daemon::log_level;
+
+namespace
+{
+
+/// A reachable host accepts a connection within a few round trips, and a round trip between the
+/// platform's zones takes about a millisecond.
+constexpr millis connect_timeout{250};
+/// When sent bytes stay unacknowledged for this long, the host or the network path has failed.
+constexpr millis unacknowledged_timeout{700};
+/// Assumed for endpoints that do not state how long they keep idle connections.
+constexpr millis default_idle_timeout{30000};
+/// Requests that may be executed only once use recently used connections only, since an older one
+/// may have been dropped unnoticed.
+constexpr millis max_idle_time_at_most_once{1500};
+constexpr millis max_idle_time{60000};
+/// Responses to other requests that are skipped on one connection.
+constexpr int max_mismatched_responses = 3;
+
+std::string join_hashes(std::span<const prompt_part> parts)
+{
+    std::string text;
+    for (const prompt_part& part : parts)
+    {
+        text += (text.empty() ? "" : ",") + std::to_string(part.hash);
+    }
+    return text;
+}
+
+// A connection can end although its engine is well, so an engine counts as crashed only if its host
+// refuses a new connection. No answer may as well be the network's fault.
+awaitable<void> report_crash(boost::asio::any_io_executor executor, router_state& state,
+                             endpoint_record engine, std::vector<prompt_part> parts)
+{
+    const time_point broken_at = state.time.now();
+    daemon::http_connection probe(std::move(executor));
+    daemon::network_address address{engine.host, engine.port};
+    const std::error_code ec =
+        co_await probe.connect(std::move(address), connect_timeout, unacknowledged_timeout);
+    if (!ec || !probe.refused())
+    {
+        co_return;
+    }
+    const std::uint64_t crash =
+        hash64(engine.id.view(), static_cast<std::uint64_t>(engine.started_at));
+    const time_point now = state.time.now();
+    state.announce(state.quarantine.record_crash(parts, crash, now - broken_at, now));
+    log_event(log_level::warning, "engine_crashed",
+              {{"endpoint", engine.id},
+               {"parts", join_hashes(parts)},
+               {"quarantined", state.quarantine.contains(parts, state.time.now())},
+               {"confirmed_after_ms", state.time.now() - broken_at}});
+}
+
+} // namespace
+
+awaitable<bool> exchange::open_connection(endpoint_record endpoint)
+{
+    const bool executed_once =
+        route_->semantics == execution_semantics::at_most_once && !route_->streaming;
+    connection_ = state_.pool.acquire(endpoint.id,
+                                      executed_once ? max_idle_time_at_most_once : max_idle_time);
+    connection_reused_ = connection_ != nullptr;
+    if (connection_reused_)
+    {
+        co_return true;
+    }
+    connection_ = std::make_shared<daemon::http_connection>(executor_);
+    daemon::network_address address;
+    address.host = endpoint.host;
+    address.port = endpoint.port;
+    const millis timeout = std::min(connect_timeout, time_left());
+    const std::error_code ec =
+        co_await connection_->connect(std::move(address), timeout, unacknowledged_timeout);
+    state_.metrics.record_connection(!ec);
+    co_return !ec;
+}
+
+awaitable<endpoint_outcome> exchange::attempt(endpoint_record endpoint)
+{
+    if (!co_await open_connection(endpoint))
+    {
+        ++history_.connect_failures;
+        state_.pool.close_all(endpoint.id);
+        co_return endpoint_outcome::unreachable;
+    }
+    time_budget time;
+    time.remaining = time_left();
+    time.latency_objective = route_->latency_objective;
+    if (caller_left_ || stopping_ || time.remaining <= millis{0})
+    {
+        co_return endpoint_outcome::shed;
+    }
+    // The endpoint may have said so while the connection was opened.
+    if (!is_usable(endpoint))
+    {
+        release_connection(endpoint);
+        connection_.reset();
+        co_return endpoint_outcome::shed;
+    }
+    forwarding_info info;
+    info.endpoint = endpoint.id;
+    info.team = team_;
+    info.priority = priority_;
+    info.time_left = time.remaining;
+    info.last_event_id = framer_.last_event_id() ? framer_.last_event_id() : decoded_.last_event_id;
+    info.copy_from = find_copy_source(endpoint.id);
+    log_placement(info);
+    const millis max_wait = first_response_timeout(*route_, history_, time);
+    ++history_.sends;
+    response_share_.release();
+    beyond_first_event_ = false;
+    connection_->send(state_.codec.encode_request(request_, info));
+    const endpoint_outcome outcome = co_await read_response(endpoint, max_wait);
+    if (outcome != endpoint_outcome::shed && outcome != endpoint_outcome::misdirected)
+    {
+        ++history_.possible_executions;
+    }
+    if (outcome != endpoint_outcome::broken)
+    {
+        release_connection(endpoint);
+    }
+    else
+    {
+        connection_->close();
+        check_for_crash(endpoint);
+    }
+    connection_.reset();
+    co_return outcome;
+}
+
+void exchange::check_for_crash(const endpoint_record& endpoint)
+{
+    // Requests that have received more than the first event did not cause the crash.
+    if (beyond_first_event_ || caller_left_ || stopping_ || decoded_.shared_prompt.empty())
+    {
+        return;
+    }
+    boost::asio::co_spawn(executor_,
+                          report_crash(executor_, state_, endpoint, decoded_.shared_prompt),
+                          boost::asio::detached);
+}
+
+void exchange::log_placement(const forwarding_info& info) const
+{
+    const endpoint_state* endpoint = state_.endpoints.find(info.endpoint);
+    const time_point now = state_.time.now();
+    log_event(
+        log_level::info, "request_placed",
+        {{"request", decoded_.id},
+         {"route", route_->name},
+         {"endpoint", info.endpoint},
+         {"load", endpoint != nullptr ? state_.endpoints.estimated_load(*endpoint, now) : 0.0},
+         {"cold", endpoint != nullptr && endpoint->is_cold(now)},
+         {"history",
+          decoded_.chat_hash &&
+              state_.prefixes.holds(*decoded_.chat_hash, hash64(info.endpoint.view()), now)},
+         {"copy_from", info.copy_from ? to_string(*info.copy_from) : std::string()},
+         {"send", history_.sends + 1},
+         {"config", routes_->version()},
+         {"copy_age_ms", state_.operations_lease.age(now).value_or(millis{-1})},
+         {"left_ms", info.time_left}});
+}
+
+void exchange::release_connection(const endpoint_record& endpoint)
+{
+    if (connection_->reusable() && !state_.notices.is_leaving(endpoint))
+    {
+        state_.pool.release(endpoint.id, connection_,
+                            response_.info.idle_timeout.value_or(default_idle_timeout));
+    }
+    else
+    {
+        connection_->close();
+    }
+}
+
+awaitable<result<exchange::received_response>> exchange::read_matching_head(millis max_wait)
+{
+    const time_point deadline = state_.time.now() + max_wait;
+    for (int n = 0; n <= max_mismatched_responses; ++n)
+    {
+        result<http_response> head = co_await connection_->read_head(deadline - state_.time.now());
+        if (!head)
+        {
+            co_return head.error();
+        }
+        received_response response;
+        response.info = state_.codec.decode_response(*head, decoded_.id);
+        response.head = std::move(*head);
+        if (response.info.matches_request)
+        {
+            co_return response;
+        }
+        log_event(log_level::warning, "foreign_answer",
+                  {{"request", decoded_.id},
+                   {"endpoint", last_endpoint_},
+                   {"status", response.head.status}});
+        result<std::string> skipped_body =
+            co_await read_response_body(deadline - state_.time.now());
+        response_share_.release();
+        if (!skipped_body)
+        {
+            co_return skipped_body.error();
+        }
+    }
+    co_return make_error_code(errc::answer_mismatch);
+}
+
+void exchange::record_endpoint_state(const endpoint_record& endpoint, const response_info& info)
+{
+    const time_point now = state_.time.now();
+    if (info.load)
+    {
+        state_.endpoints.record_load_report(endpoint.id, *info.load, now);
+    }
+    if (info.cold_left && *info.cold_left > millis{0})
+    {
+        state_.endpoints.record_cold_report(endpoint.id, *info.cold_left, now);
+    }
+    // Another endpoint answered if the address belongs to it.
+    if (!info.misdirected)
+    {
+        record_notices(endpoint, info);
+    }
+}
+
+void exchange::record_notices(const endpoint_record& endpoint, const response_info& info)
+{
+    const time_point now = state_.time.now();
+    const std::optional<millis> copy_age = state_.operations_lease.age(now);
+    if (info.malformed_notice)
+    {
+        state_.metrics.record_notice("malformed");
+        log_event(log_level::warning, "endpoint_notice_malformed",
+                  {{"request", decoded_.id}, {"endpoint", endpoint.id}});
+    }
+    if (info.leaving)
+    {
+        state_.metrics.record_notice("leaving");
+        if (state_.notices.record_leaving(endpoint, now))
+        {
+            state_.pool.close_all(endpoint.id);
+            log_event(log_level::info, "endpoint_avoided",
+                      {{"request", decoded_.id},
+                       {"endpoint", endpoint.id},
+                       {"notice", "leaving"},
+                       {"bound_ms", state_.bounds.max_drain_delay},
+                       {"copy_age_ms", copy_age.value_or(millis{-1})}});
+        }
+    }
+    if (info.hold_off)
+    {
+        state_.metrics.record_notice("hold_off");
+        if (state_.notices.record_hold_off(endpoint, *info.hold_off, now))
+        {
+            log_event(log_level::info, "endpoint_avoided",
+                      {{"request", decoded_.id},
+                       {"endpoint", endpoint.id},
+                       {"notice", "hold_off"},
+                       {"bound_ms", state_.notices.hold_off_left(endpoint, now)},
+                       {"copy_age_ms", copy_age.value_or(millis{-1})}});
+        }
+    }
+}
+
+awaitable<endpoint_outcome> exchange::read_response(endpoint_record endpoint, millis max_wait)
+{
+    const time_point first_event_deadline = state_.time.now() + max_wait;
+    result<received_response> response = co_await read_matching_head(max_wait);
+    if (!response)
+    {
+        co_return endpoint_outcome::broken;
+    }
+    record_endpoint_state(endpoint, response->info);
+    if (!response->info.success || !response->info.is_event_stream)
+    {
+        response_ = std::move(*response);
+        co_return co_await forward_body();
+    }
+    if (!history_.response_started)
+    {
+        // A resumed stream keeps the response head of its first engine.
+        response_ = std::move(*response);
+    }
+    framer_.restart();
+    co_return co_await forward_events(first_event_deadline);
+}
+
+} // namespace endivestage::serving
--- /dev/null
+++ b/endivestage/serving/replication_relays.cpp
@@ -0,0 +1,269 @@
+#include <endivestage/serving/replication_service.hpp>
+
+#include <endivestage/daemon/json_access.hpp>
+#include <endivestage/daemon/logging.hpp>
+#include <endivestage/serving/change_encoding.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace endivestage::serving
+{
+
+namespace json = boost::json;
+using daemon::awaitable;
+using daemon::http_request;
+using daemon::http_response;
+using daemon::log_event;
+using daemon::log_level;
+
+namespace
+{
+
+constexpr millis relay_poll_wait{250};
+constexpr millis relay_timeout{600};
+/// All rows of a table are tens of kilobytes, on links of 10 Mbit/s and more.
+constexpr millis relay_body_timeout{1200};
+constexpr millis relay_unacknowledged_timeout{600};
+constexpr std::size_t max_relay_response_bytes = 16UL * 1024 * 1024;
+
+std::uint64_t parse_revision(std::string_view text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+json::array encode_loads(std::span<const engine_requests> loads)
+{
+    json::array encoded;
+    for (const engine_requests& load : loads)
+    {
+        encoded.emplace_back(json::array{load.engine, load.requests});
+    }
+    return encoded;
+}
+
+std::vector<engine_requests> decode_loads(const json::array& encoded)
+{
+    std::vector<engine_requests> loads;
+    for (const json::value& pair : encoded)
+    {
+        if (!pair.is_array() || pair.get_array().size() != 2)
+        {
+            continue;
+        }
+        boost::system::error_code ec;
+        engine_requests load;
+        load.engine = pair.get_array()[0].to_number<std::uint64_t>(ec);
+        if (!ec)
+        {
+            load.requests = pair.get_array()[1].to_number<std::uint32_t>(ec);
+        }
+        if (!ec)
+        {
+            loads.push_back(load);
+        }
+    }
+    return loads;
+}
+
+} // namespace
+
+awaitable<std::error_code> replication_service::connect_to_relay(relay_peer relay)
+{
+    if (connected_relay_ == relay.candidate.id && relay_connection_ &&
+        relay_connection_->reusable())
+    {
+        co_return std::error_code{};
+    }
+    relay_connection_ = std::make_shared<daemon::http_connection>(context_.get_executor());
+    connected_relay_ = relay.candidate.id;
+    loads_sequence_ = 0; // Each relay numbers the changes of its loads itself.
+    co_return co_await relay_connection_->connect(relay.address, relay_timeout,
+                                                  relay_unacknowledged_timeout);
+}
+
+awaitable<std::error_code> replication_service::poll_relay(relay_peer relay)
+{
+    std::error_code ec = co_await connect_to_relay(relay);
+    if (!ec)
+    {
+        ec = co_await request_changes(relay);
+    }
+    if (ec)
+    {
+        // A relay that is starting itself has no tables yet and will have them shortly.
+        if (is_complete() || ec != errc::peer_unavailable)
+        {
+            source_choice_.record_failure(relay.candidate.id, time_.now());
+            log_event(log_level::info, "relay_failed", {{"router", relay.candidate.id}, ec});
+        }
+        relay_connection_.reset();
+    }
+    co_return ec;
+}
+
+awaitable<std::error_code> replication_service::request_changes(relay_peer relay)
+{
+    http_request request;
+    request.target = "/v1/tables?wait_ms=" + std::to_string(relay_poll_wait.count);
+    for (const shared_table table : shared_tables)
+    {
+        request.target += "&" + std::string(to_string(table)) + "=" +
+                          std::to_string(replicas_.at(table).revision().value_or(0));
+    }
+    request.method = "POST";
+    request.target += "&router=" + self_.str();
+    if (!relaying_)
+    {
+        // Relays exchange the sums of their followers' loads instead.
+        request.target += "&loads=" + std::to_string(loads_sequence_);
+        request.body = json::serialize(encode_loads(callbacks_.open_requests()));
+    }
+    request.fields.emplace_back("Host", daemon::to_string(relay.address));
+    const time_point sent_at = time_.now();
+    relay_connection_->send(std::move(request));
+    result<http_response> head = co_await relay_connection_->read_head(relay_timeout);
+    if (!head)
+    {
+        co_return head.error();
+    }
+    if (head->status != 200)
+    {
+        co_return make_error_code(errc::peer_unavailable);
+    }
+    result<std::string> body = co_await daemon::read_body(*relay_connection_, relay_body_timeout,
+                                                          max_relay_response_bytes);
+    if (body)
+    {
+        body = decompress_body(*head, std::move(*body));
+    }
+    co_return body ? apply_peer_response(*body, sent_at) : body.error();
+}
+
+std::error_code replication_service::apply_peer_response(std::string_view body, time_point sent_at)
+{
+    result<json::object> response = daemon::parse_json_object(body, daemon::json_text::bytes);
+    if (!response)
+    {
+        return response.error();
+    }
+    for (const json::value& entry : daemon::get_array(*response, "tables"))
+    {
+        if (!entry.is_object())
+        {
+            return make_error_code(errc::invalid_request);
+        }
+        const json::object& encoded = entry.get_object();
+        const std::string name = daemon::get_text(encoded, "table");
+        for (const shared_table table : shared_tables)
+        {
+            if (name == to_string(table))
+            {
+                const change_batch batch = decode_batch(encoded);
+                apply(table, batch, daemon::get_flag(encoded, "settling"));
+            }
+        }
+    }
+    if (!relaying_)
+    {
+        load_changes changes;
+        changes.loads = decode_loads(daemon::get_array(*response, "loads"));
+        changes.complete = daemon::get_flag(*response, "loads_complete");
+        loads_sequence_ = daemon::get_unsigned(*response, "loads_up_to");
+        callbacks_.on_fleet_loads(changes);
+    }
+    const std::int64_t age_ms = daemon::get_number(*response, "age_ms", -1);
+    // Relays that run an earlier release state the age of the operator's table only.
+    const std::int64_t endpoints_age_ms = daemon::get_number(*response, "endpoints_age_ms", age_ms);
+    if (age_ms < 0 || endpoints_age_ms < 0 ||
+        source_choice_.is_relay_stale(millis{std::max(age_ms, endpoints_age_ms)}))
+    {
+        return make_error_code(errc::stale_view);
+    }
+    // The relay determined the ages after the request was sent, so these instants are not later
+    // than those at which the copies were current.
+    renew_freshness(shared_table::operations, sent_at - millis{age_ms});
+    renew_freshness(shared_table::endpoints, sent_at - millis{endpoints_age_ms});
+    callbacks_.on_updated();
+    return {};
+}
+
+awaitable<http_response> replication_service::handle_peer_request(http_request request)
+{
+    http_response response;
+    daemon::http_target target;
+    if (!daemon::parse_target(request.target, target) || !is_complete())
+    {
+        response.status = 503;
+        co_return response;
+    }
+    boost::system::error_code ec;
+    const json::value posted_loads = json::parse(request.body, ec);
+    if (!ec && posted_loads.is_array())
+    {
+        load_aggregator_.apply_router_report(hash64(target.parameter("router")),
+                                             decode_loads(posted_loads.get_array()), time_.now());
+    }
+    const millis max_wait{static_cast<std::int64_t>(
+        std::min<std::uint64_t>(parse_revision(target.parameter("wait_ms")), 1000))};
+    const time_point deadline = time_.now() + max_wait;
+    for (;;)
+    {
+        std::vector<shared_table> changed;
+        for (const shared_table table : shared_tables)
+        {
+            // Unchanged tables are omitted; most responses contain only the age and loads.
+            if (replicas_.at(table).has_changes_since(
+                    parse_revision(target.parameter(to_string(table)))))
+            {
+                changed.push_back(table);
+            }
+        }
+        const time_point now = time_.now();
+        if (!changed.empty() || now >= deadline)
+        {
+            encode_peer_response(target, changed, now, response);
+            co_return response;
+        }
+        co_await wait_for_change(deadline - now);
+    }
+}
+
+void replication_service::encode_peer_response(const daemon::http_target& target,
+                                               std::span<const shared_table> changed,
+                                               time_point now, http_response& response)
+{
+    std::vector<std::shared_ptr<const encoded_fragment>> fragments;
+    std::string text = "{\"tables\":[";
+    for (const shared_table table : changed)
+    {
+        fragments.push_back(std::make_shared<const encoded_fragment>(encode_fragment(text)));
+        fragments.push_back(served_changes_.at(table).cache.changes_since(
+            replicas_.at(table), parse_revision(target.parameter(to_string(table))),
+            is_settling()));
+        text = ",";
+    }
+    json::object rest;
+    rest["age_ms"] = age(shared_table::operations).value_or(millis{-1}).count;
+    rest["endpoints_age_ms"] = age(shared_table::endpoints).value_or(millis{-1}).count;
+    const std::string_view loads_since = target.parameter("loads");
+    if (!loads_since.empty())
+    {
+        const load_changes loads = load_aggregator_.changes_since(parse_revision(loads_since), now);
+        rest["loads"] = encode_loads(loads.loads);
+        rest["loads_up_to"] = loads.last_sequence;
+        rest["loads_complete"] = loads.complete;
+    }
+    if (!changed.empty())
+    {
+        text.clear();
+    }
+    text += "]," + json::serialize(rest).substr(1);
+    fragments.push_back(std::make_shared<const encoded_fragment>(encode_fragment(std::move(text))));
+    set_body(response, fragments);
+}
+
+} // namespace endivestage::serving
