Refuse ambiguous messages, apply reloaded bounds, keep promises true

By reading: each failed connection counted as a first send, so the repeat budget grew with failures. Change: daemon/message_framing checks heads of requests (400, 501, close) and responses (broken). router_state::apply_bounds and server::reload apply all bounds. A request counts one first send.

--- a/endivestage/daemon/http_connection.cpp
+++ b/endivestage/daemon/http_connection.cpp
@@ -1,4 +1,5 @@
 #include <endivestage/daemon/http_connection.hpp>
+#include <endivestage/daemon/message_framing.hpp>
 #include <endivestage/daemon/process_clock.hpp>
 #include <endivestage/daemon/socket_deadline.hpp>
 
@@ -178,6 +179,13 @@
     {
         head.fields.emplace_back(field.name_string(), field.value());
     }
+    if (check_framing(head.fields, self->parser->get().version() % 10) != message_framing::valid)
+    {
+        // Its end is unknown, so nothing on this connection can be told from the next response.
+        boost::system::error_code ignored;
+        self->stream.socket().close(ignored);
+        co_return make_error_code(errc::outcome_unknown);
+    }
     co_return head;
 }
 
--- a/endivestage/daemon/http_server.cpp
+++ b/endivestage/daemon/http_server.cpp
@@ -1,5 +1,6 @@
 #include <endivestage/daemon/http_server.hpp>
 #include <endivestage/daemon/logging.hpp>
+#include <endivestage/daemon/message_framing.hpp>
 #include <endivestage/daemon/process_clock.hpp>
 #include <endivestage/daemon/socket_deadline.hpp>
 
@@ -91,6 +92,19 @@
     return "failed";
 }
 
+http_request take_head(const http::request<http::string_body>& message, time_point received)
+{
+    http_request request;
+    request.received = received;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto& field : message)
+    {
+        request.fields.emplace_back(field.name_string(), field.value());
+    }
+    return request;
+}
+
 class connection_writer final : public response_writer,
                                 public std::enable_shared_from_this<connection_writer>
 {
@@ -277,6 +291,7 @@
     awaitable<void> refuse(connection_stream& stream, int status, errc code) const;
     awaitable<void> refuse_malformed(connection_stream& stream,
                                      const boost::system::error_code& ec) const;
+    awaitable<void> refuse_framing(connection_stream& stream, message_framing framing) const;
 
     asio::io_context& context;
     http_limits limits;
@@ -371,6 +386,16 @@
     co_await refuse(stream, large ? 413 : 400, large ? errc::too_large : errc::invalid_request);
 }
 
+awaitable<void> http_server::state::refuse_framing(connection_stream& stream,
+                                                   message_framing framing) const
+{
+    const bool unknown = framing == message_framing::unknown_coding;
+    log_event(
+        log_level::info, "request_refused",
+        {{"reason", unknown ? "unknown_transfer_coding" : "malformed_framing"}, {"port", port}});
+    co_await refuse(stream, unknown ? 501 : 400, errc::invalid_request);
+}
+
 // Waits for the first byte, so that a connection without a request can be told from one that is in
 // the middle of a request. Returns nothing when a request has begun.
 awaitable<std::optional<close_reason>> http_server::state::await_request(std::uint64_t connection,
@@ -436,6 +461,21 @@
     deadline.start(in_force.request, socket_deadline::direction::read);
     co_await http::async_read_header(stream, buf, parser,
                                      asio::redirect_error(asio::use_awaitable, ec));
+    http_request request;
+    bool keep_alive = false;
+    if (!ec)
+    {
+        // The fields are taken before the body: the parser adds those of a trailer to them.
+        request = take_head(parser.get(), received);
+        keep_alive = parser.get().keep_alive();
+        const message_framing framing = check_framing(request.fields, parser.get().version() % 10);
+        if (framing != message_framing::valid)
+        {
+            deadline.stop();
+            co_await refuse_framing(stream, framing);
+            co_return close_reason::incomplete;
+        }
+    }
     if (!ec && beast::iequals(parser.get()[http::field::expect], "100-continue"))
     {
         http::response<http::empty_body> proceed(http::status::continue_, 11);
@@ -452,18 +492,9 @@
         co_await refuse_malformed(stream, ec);
         co_return close_reason::incomplete;
     }
-    http::request<http::string_body> message = parser.release();
-    http_request request;
-    request.received = received;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto& field : message)
-    {
-        request.fields.emplace_back(field.name_string(), field.value());
-    }
-    request.body = std::move(message.body());
-    std::shared_ptr<connection_writer> writer = std::make_shared<connection_writer>(
-        stream, in_force.write, message.keep_alive(), accepting);
+    request.body = std::move(parser.get().body());
+    std::shared_ptr<connection_writer> writer =
+        std::make_shared<connection_writer>(stream, in_force.write, keep_alive, accepting);
     requests.fetch_add(1);
     bool failed = false;
     try
--- a/endivestage/replication/source_choice.hpp
+++ b/endivestage/replication/source_choice.hpp
@@ -95,6 +95,7 @@
     bool is_relay_stale(millis age) const { return age > config_.timing.relay_stale_after; }
 
     const replication_timing& timing() const { return config_.timing; }
+    void set_timing(const replication_timing& timing) { config_.timing = timing; }
 
 private:
     source_choice_config config_;
--- a/endivestage/routing/freshness_lease.hpp
+++ b/endivestage/routing/freshness_lease.hpp
@@ -56,6 +56,10 @@
 
     bool is_valid(time_point now) const;
 
+    /// \brief Changes the age from which the copy must not be used; applies to the present copy
+    /// too.
+    void set_ttl(millis ttl) { ttl_ = ttl; }
+
 private:
     millis ttl_;
     std::optional<time_point> current_at_;
--- a/endivestage/routing/send_limits.cpp
+++ b/endivestage/routing/send_limits.cpp
@@ -50,6 +50,16 @@
 {
 }
 
+void repeat_budget::set_limit(repeat_limit limit, time_point now)
+{
+    if (limit.window != limit_.window)
+    {
+        *this = repeat_budget(limit, now);
+        return;
+    }
+    limit_ = limit;
+}
+
 void repeat_budget::record_first_send(time_point now)
 {
     first_sends_.add(now);
--- a/endivestage/routing/send_limits.hpp
+++ b/endivestage/routing/send_limits.hpp
@@ -60,6 +60,10 @@
 public:
     repeat_budget(repeat_limit limit, time_point started);
 
+    /// \brief Applies a changed limit. The counts are kept unless the window changes; then the
+    /// budget begins anew as after a start.
+    void set_limit(repeat_limit limit, time_point now);
+
     /// \brief Counts the first send of a request.
     void record_first_send(time_point now);
 
--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -258,6 +258,7 @@
 awaitable<void> exchange::try_endpoints()
 {
     repeat_budget& budget = state_.repeat_budget_for(service_);
+    bool first_send_counted = false;
     for (;;)
     {
         if (caller_left_)
@@ -272,7 +273,8 @@
             co_return;
         }
         const endpoint_record endpoint = chosen->record;
-        if (history_.sends == 0)
+        // Once per request: connections that fail are no sends, and must not let the budget grow.
+        if (!std::exchange(first_send_counted, true))
         {
             budget.record_first_send(state_.time.now());
         }
@@ -337,6 +339,13 @@
         caller_.abort();
         co_return;
     }
+    if (step == next_step::deliver && promises_no_execution(response_.head.status))
+    {
+        // The endpoint did not state that it has not executed the request, so its status would tell
+        // the caller more than is known.
+        co_await send_error(502, errc::outcome_unknown, execution::unknown, std::nullopt);
+        co_return;
+    }
     if (step == next_step::deliver)
     {
         http_response response = state_.codec.encode_response(response_.head);
--- a/endivestage/serving/exchange_response.cpp
+++ b/endivestage/serving/exchange_response.cpp
@@ -70,7 +70,7 @@
         co_return endpoint_outcome::broken;
     }
     response_body_ = std::move(*body);
-    if (response_.head.status >= 500)
+    if (response_.head.status >= 500 || promises_no_execution(response_.head.status))
     {
         co_return endpoint_outcome::failed;
     }
--- a/endivestage/serving/replication_service.hpp
+++ b/endivestage/serving/replication_service.hpp
@@ -83,6 +83,9 @@
     /// table is known only on routers that poll the table service.
     std::optional<millis> age(shared_table table) const;
 
+    /// \brief Applies changed intervals and age limits from the next poll on.
+    void set_timing(const replication_timing& timing) { source_choice_.set_timing(timing); }
+
     /// \returns Calls made to the table service since start.
     std::uint64_t store_calls() const { return store_calls_; }
     /// \returns Whether this router serves changes to other routers.
--- a/endivestage/serving/router_state.hpp
+++ b/endivestage/serving/router_state.hpp
@@ -61,7 +61,7 @@
           self(std::move(name)),
           start_time(t.now()),
           cold_limiter(self),
-          operations_lease(b.max_revocation_delay - revocation_margin),
+          operations_lease(lease_ttl(b)),
           pool(t),
           quarantine(hash64(self.view())),
           notices(hash64(self.view()))
@@ -112,6 +112,23 @@
                operations_lease.is_valid(time.now());
     }
 
+    /// \returns Age from which the copy of the operator's table must not be used.
+    static millis lease_ttl(const server_bounds& bounds)
+    {
+        return bounds.max_revocation_delay - revocation_margin;
+    }
+
+    /// \brief Applies changed bounds to everything that was made with the earlier ones.
+    void apply_bounds(const server_bounds& changed)
+    {
+        bounds = changed;
+        operations_lease.set_ttl(lease_ttl(changed));
+        for (std::pair<const service_id, repeat_budget>& budget : repeat_budgets)
+        {
+            budget.second.set_limit(changed.repeats, time.now());
+        }
+    }
+
     repeat_budget& repeat_budget_for(const service_id& service)
     {
         return repeat_budgets.try_emplace(service, bounds.repeats, start_time).first->second;
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -480,8 +480,19 @@
 void server::reload(const server_settings& settings)
 {
     settings_.bounds = settings.bounds;
-    state_.bounds = settings.bounds;
-    log_event(log_level::info, "settings_reloaded");
+    state_.apply_bounds(settings.bounds);
+    if (replication_)
+    {
+        replication_->set_timing(replication_timing::for_change_delay(state_.max_change_delay()));
+    }
+    if (!stopping_)
+    {
+        planned_stop_ = planned_stop(to_stop_config(settings.bounds));
+    }
+    log_event(log_level::info, "settings_reloaded",
+              {{"revocation_ms", settings.bounds.max_revocation_delay},
+               {"config_ms", settings.bounds.max_config_delay},
+               {"drain_ms", settings.bounds.max_drain_delay}});
 }
 
 } // namespace endivestage::serving
--- a/endivestage/serving/wire_codec.hpp
+++ b/endivestage/serving/wire_codec.hpp
@@ -64,6 +64,13 @@
     bool malformed_notice = false;
 };
 
+/// \returns Whether callers take a status for the promise that the request was not executed and
+/// never will be.
+constexpr bool promises_no_execution(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /// \brief Converts between HTTP messages and the router's types.
 class wire_codec
 {
--- a/tests/daemon_endpoint_trouble_test.cpp
+++ b/tests/daemon_endpoint_trouble_test.cpp
@@ -224,3 +224,20 @@
         millis{20});
     REQUIRE((status == 502 || status == 504));
 }
+
+// Guards against a promise that the router cannot make: callers repeat a request after these
+// statuses, and only an endpoint's own statement tells that it has not run.
+TEST_CASE("an endpoint's refusal without a statement does not say that a request has not run")
+{
+    const int status = GENERATE(408, 421, 429, 503);
+    fleet f;
+    f.add_engine("e1", [status](const http_request& request)
+                 { return keep_open(standin::make_response(request, status, "ran")); });
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            const http_response got = co_await f.send_request("POST", "/o/");
+            REQUIRE(got.status == (status == 421 ? 503 : 502));
+        });
+}
