Hold requests until a starting router has its tables

Cause: a starting router answered every request with 503 and 300 ms. When all routers of a fleet start at the same time, no other router is ready, and 300 ms are most of the objective of many callers (docs/design/README.md, section 7). Change: start_hold bounds the requests that wait (number, bytes, half of the caller's time, 1 s from the start) and orders their release by priority and deadline; start_gate suspends their coroutines. Requests whose tables cannot come in time are refused at once, with a Retry-After of at most a third of the time left. The test fixture can run steps before the router is ready. Before: a request to a router whose store does not answer yet got 503. After: it is served as soon as the store answers (start_hold_test, daemon_start_hold_test).

--- a/endivestage/routing.hpp
+++ b/endivestage/routing.hpp
@@ -13,6 +13,7 @@
 ///  - prefix_directory (routing/prefix_directory.hpp): engines that have parts of prompts cached
 ///  - prompt_quarantine (routing/prompt_quarantine.hpp): parts of prompts that crash engines
 ///  - quarantine_records (routing/quarantine_records.hpp): who stores these parts for restarts
+///  - start_hold (routing/start_hold.hpp): requests that wait for the tables of a starting router
 ///  - may_act (routing/staggering.hpp): which routers do work first that any of them can do
 ///  - buffer_budget (routing/buffer_budget.hpp): memory for answers that are being read
 ///  - time_estimator (routing/time_estimate.hpp): when an endpoint would answer a request
@@ -32,4 +33,5 @@
 #include <endivestage/routing/route_table.hpp>
 #include <endivestage/routing/send_limits.hpp>
 #include <endivestage/routing/staggering.hpp>
+#include <endivestage/routing/start_hold.hpp>
 #include <endivestage/routing/time_estimate.hpp>
--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -3,6 +3,7 @@
 #include <endivestage/daemon/logging.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace endivestage::serving
@@ -21,9 +22,6 @@
 /// Retry delay when this router's copy of the tables is too old. Another router can serve the
 /// request at once.
 constexpr millis retry_after_stale_copy{50};
-/// Retry delay while this router starts. It reads its tables within tens of milliseconds; when all
-/// routers start at the same time, no other router is ready either.
-constexpr millis retry_after_starting{300};
 /// Retry delay while this router stops. Other routers can serve the request at once.
 constexpr millis retry_after_stopping{50};
 /// Retry delay when endpoints refuse requests; they must complete some of their work first.
@@ -81,10 +79,18 @@
 
 awaitable<void> exchange::run()
 {
+    if (state_.lifecycle == lifecycle_state::starting)
+    {
+        const bool may_go_on = co_await wait_for_tables();
+        if (!may_go_on)
+        {
+            co_return;
+        }
+    }
     routes_ = state_.routes;
-    if (!routes_ || state_.lifecycle == lifecycle_state::starting)
+    if (!routes_)
     {
-        co_await send_error(503, errc::store_unavailable, execution::not_run, retry_after_starting);
+        co_await send_error(503, errc::shutting_down, execution::not_run, retry_after_stopping);
         co_return;
     }
     // Without a current copy of the table, this router may not have seen that a permission was
@@ -130,6 +136,17 @@
     }
     service_ = choose_target(*route_, decoded_.chat_hash.value_or(hash64(decoded_.id.view())));
     profile_ = routes_->find_service(service_);
+    watch_caller();
+    co_await try_endpoints();
+}
+
+void exchange::watch_caller()
+{
+    if (watches_caller_)
+    {
+        return;
+    }
+    watches_caller_ = true;
     std::weak_ptr<exchange> weak_self = weak_from_this();
     caller_.on_caller_left(
         [weak_self]
@@ -142,9 +159,66 @@
                 {
                     self->connection_->close();
                 }
+                if (self->leave_start_gate_)
+                {
+                    self->leave_start_gate_();
+                }
             }
         });
-    co_await try_endpoints();
+}
+
+std::uint32_t exchange::find_priority() const
+{
+    const route* found =
+        state_.routes ? state_.routes->find(decoded_.host, decoded_.path) : nullptr;
+    if (found == nullptr)
+    {
+        return std::numeric_limits<std::uint32_t>::max();
+    }
+    const team_access* team = state_.routes->find_team(decoded_.api_key);
+    const bool keyed = state_.routes->requires_keys() && !found->anonymous;
+    return keyed && team != nullptr ? team->priority.value_or(found->priority) : found->priority;
+}
+
+awaitable<bool> exchange::wait_for_tables()
+{
+    watch_caller();
+    start_gate::waiting_request waiting;
+    waiting.request.bytes = request_.target.size() + request_.body.size();
+    for (const std::pair<std::string, std::string>& field : request_.fields)
+    {
+        waiting.request.bytes += field.first.size() + field.second.size();
+    }
+    waiting.request.received = request_.received;
+    waiting.request.timeout = decoded_.timeout;
+    waiting.priority = [this]
+    {
+        return find_priority();
+    };
+    waiting.leave = &leave_start_gate_;
+    const unrouted_request request = waiting.request;
+    start_outcome outcome = start_outcome::left;
+    if (!caller_left_)
+    {
+        outcome = co_await state_.start.wait(std::move(waiting));
+    }
+    switch (outcome)
+    {
+    case start_outcome::released:
+        co_return true;
+    case start_outcome::left:
+        end_without_caller();
+        break;
+    case start_outcome::stopped:
+        co_await send_error(503, errc::shutting_down, execution::not_run, retry_after_stopping);
+        break;
+    case start_outcome::refused:
+        const millis retry_after =
+            state_.start.hold().retry_after(request, state_.random.next(), state_.time.now());
+        co_await send_error(503, errc::store_unavailable, execution::not_run, retry_after);
+        break;
+    }
+    co_return false;
 }
 
 void exchange::stop()
--- a/endivestage/serving/exchange.hpp
+++ b/endivestage/serving/exchange.hpp
@@ -8,6 +8,7 @@
 #include <endivestage/serving/router_state.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -40,6 +41,9 @@
         response_info info;
     };
 
+    daemon::awaitable<bool> wait_for_tables();
+    std::uint32_t find_priority() const;
+    void watch_caller();
     daemon::awaitable<bool> refuse_quarantined();
     daemon::awaitable<void> try_endpoints();
     const endpoint_state* choose_endpoint();
@@ -87,6 +91,8 @@
     bool beyond_first_event_ = false; ///< The present attempt has received more than one event.
     bool prompt_served_ = false;      ///< The prompt's parts were recorded as served.
     bool caller_left_ = false;
+    bool watches_caller_ = false;
+    std::function<void()> leave_start_gate_; ///< Set while the request waits for the tables.
     bool stopping_ = false;
     attempt_history history_;
     std::vector<endpoint_id> tried_;
--- a/endivestage/serving/router_metrics.cpp
+++ b/endivestage/serving/router_metrics.cpp
@@ -66,6 +66,25 @@
         .observe(to_seconds(delay));
 }
 
+void router_metrics::set_ended_waits(std::string_view result, std::uint64_t ended)
+{
+    registry_
+        .get_counter("endivestage_held_requests_total",
+                     "Requests that waited for the tables of the starting router.",
+                     {{"result", std::string(result)}})
+        .raise_to(ended);
+}
+
+void router_metrics::set_held_requests(std::size_t requests, std::size_t bytes)
+{
+    registry_
+        .get_gauge("endivestage_held_requests",
+                   "Requests that wait until this router has its tables.")
+        .set(static_cast<double>(requests));
+    registry_.get_gauge("endivestage_held_bytes", "Bytes of requests that wait for the tables.")
+        .set(static_cast<double>(bytes));
+}
+
 void router_metrics::set_gauges(const router_gauges& values)
 {
     const auto set_gauge = [this](std::string_view name, std::string_view help, double value)
--- a/endivestage/serving/router_metrics.hpp
+++ b/endivestage/serving/router_metrics.hpp
@@ -48,6 +48,11 @@
     void record_connection(bool success);
     /// \param delay How late a timer of the event loop was handled.
     void record_loop_delay(millis delay);
+    /// \brief Sets how many waits for the tables of the starting router have ended in one way.
+    /// \param result "released", "refused", "left" or "stopped".
+    void set_ended_waits(std::string_view result, std::uint64_t ended);
+    /// \brief Sets the requests that wait for the tables now, and their bytes.
+    void set_held_requests(std::size_t requests, std::size_t bytes);
     void set_gauges(const router_gauges& values);
 
     /// \returns All metrics as text.
--- a/endivestage/serving/router_state.hpp
+++ b/endivestage/serving/router_state.hpp
@@ -6,6 +6,7 @@
 #include <endivestage/routing.hpp>
 #include <endivestage/serving/connection_pool.hpp>
 #include <endivestage/serving/router_metrics.hpp>
+#include <endivestage/serving/start_gate.hpp>
 #include <endivestage/serving/wire_codec.hpp>
 
 #include <algorithm>
@@ -61,6 +62,7 @@
           self(std::move(name)),
           start_time(t.now()),
           cold_limiter(self),
+          start(t, {}),
           operations_lease(b.max_revocation_delay - revocation_margin),
           pool(t),
           quarantine(hash64(self.view())),
@@ -75,6 +77,9 @@
     /// Answers that are being read take at most this part of the host's memory. Strings that grow
     /// take twice their size for a moment, and requests take memory too.
     static constexpr std::size_t response_memory_divisor = 4;
+    /// Requests that wait for the tables of a starting router take at most this part of the host's
+    /// memory.
+    static constexpr std::size_t held_memory_divisor = 16;
     /// A stale copy is refreshed this long before it can no longer be used.
     static constexpr millis lease_reserve{600};
 
@@ -88,6 +93,7 @@
     endpoint_directory endpoints;
     std::map<service_id, repeat_budget> repeat_budgets;
     cold_send_share cold_limiter;
+    start_gate start;                 ///< Requests that wait for the tables.
     freshness_lease operations_lease; ///< Validity of the operator's table.
     std::vector<router_id> routers;   ///< Routers that may be running, this one included.
     router_metrics metrics;
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -62,6 +62,13 @@
     return converted;
 }
 
+start_hold_limits to_hold_limits(std::size_t host_memory)
+{
+    start_hold_limits converted;
+    converted.bytes = host_memory / router_state::held_memory_divisor;
+    return converted;
+}
+
 } // namespace
 
 server::server(asio::io_context& context, server_settings settings, platform_adapter platform)
@@ -115,6 +122,7 @@
     state_.routers = {settings_.name};
     state_.response_memory =
         buffer_budget(settings_.memory / router_state::response_memory_divisor);
+    state_.start = start_gate(time_, to_hold_limits(settings_.memory));
     state_.random = seeded_random(
         hash64(settings_.name.view(), static_cast<std::uint64_t>(time_.wall_now().since_epoch)));
 }
@@ -166,6 +174,7 @@
             break;
         }
         log_event(log_level::warning, "join_delayed", {listed.error()});
+        state_.start.postpone(time_.now() + join_retry_delay);
         co_await daemon::sleep_for(join_retry_delay);
     }
     if (stopping_)
@@ -288,21 +297,6 @@
     }
 }
 
-awaitable<void> server::announce_self()
-{
-    while (!stopping_)
-    {
-        std::string row = peer_service_->own_row();
-        const std::error_code ec = co_await platform_.tables->write(
-            shared_table::routers, settings_.name.str(), std::move(row));
-        if (!ec)
-        {
-            co_return;
-        }
-        co_await daemon::sleep_for(join_retry_delay);
-    }
-}
-
 void server::apply_routes(route_table routes)
 {
     if (state_.routes && routes.version() <= state_.routes->version())
@@ -315,16 +309,6 @@
     caller_server_.set_limits(to_http_limits(state_.routes->limits()));
 }
 
-void server::update_lifecycle()
-{
-    if (state_.lifecycle == lifecycle_state::starting && state_.routes &&
-        state_.operations_lease.is_valid(time_.now()) && replication_->is_complete())
-    {
-        state_.lifecycle = lifecycle_state::serving;
-        log_event(log_level::info, "serving", {{"endpoints", state_.endpoints.size()}});
-    }
-}
-
 void server::update_routers()
 {
     state_.routers = peer_service_->possible_routers();
@@ -341,7 +325,7 @@
     gauges.response_bytes = state_.response_memory.in_use();
     gauges.config_version = state_.routes ? state_.routes->version() : 0;
     gauges.ready = state_.is_ready();
-    gauges.quarantined_parts = state_.quarantine.quarantined(time_.now());
+    record_start_gate(state_.start, state_.metrics);
     if (replication_)
     {
         gauges.copy_age = replication_->age(shared_table::operations).value_or(millis{-1});
@@ -426,6 +410,7 @@
     }
     stopping_ = true;
     state_.lifecycle = lifecycle_state::stopping;
+    state_.start.stop();
     log_event(log_level::info, "stopping", {{"open_requests", state_.open_requests}});
     if (peer_service_)
     {
--- a/tests/platform_fleet.hpp
+++ b/tests/platform_fleet.hpp
@@ -145,15 +145,25 @@
         REQUIRE_FALSE(router->start());
     }
 
+    /// When the steps of a test run.
+    enum class start
+    {
+        when_ready,
+        at_once,
+    };
+
     /// Runs the steps of a test once the router is ready; fails if they do not complete in time.
-    void run(std::function<awaitable<void>()> steps)
+    void run(std::function<awaitable<void>()> steps, start when = start::when_ready)
     {
         bool done = false;
         asio::co_spawn(
             context,
             [&]() -> awaitable<void>
             {
-                co_await wait_ready();
+                if (when == start::when_ready)
+                {
+                    co_await wait_ready();
+                }
                 co_await steps();
                 done = true;
                 context.stop();
