Order endpoints by estimated times where they report a pace

Cause: hosts are up to 2.5 times slower for fractions of a second, and endpoints say so in a fourth figure of their load report. The codec dropped a report unless it had exactly three figures, so neither the pace nor the load of these endpoints was known, and chats were placed by rendezvous order whatever an endpoint took.

Change: load reports are decoded as far as they are known into load_report; an unknown number of figures is counted, and logged once a connection. endpoint_directory keeps the pace with its time. observed_times implements time_estimator: it fits the times of first events to tokens and occupied slots by service and route, and applies queue, cold state and the pace weighted by its age. rank_endpoints orders by it where endpoints report a pace, after the avoided endpoints and the load bound, which holds there for requests without a chat too. A chat stays at its history unless another engine is clearly sooner. Among about equal endpoints those of the router's zone go first, and at least a quarter of all counts as about equal, so that no endpoint gets more than four times its share from routers with the same information.

Before: a report "3,2,16,130" was ignored.

Conclusion: services without a pace are ordered as before. What the order gains for callers is not measured yet.

--- a/endivestage/routing.hpp
+++ b/endivestage/routing.hpp
@@ -16,6 +16,7 @@
 ///  - may_act (routing/staggering.hpp): which routers do work first that any of them can do
 ///  - buffer_budget (routing/buffer_budget.hpp): memory for answers that are being read
 ///  - time_estimator (routing/time_estimate.hpp): when an endpoint would answer a request
+///  - observed_times (routing/observed_times.hpp): the time_estimator that learns from answers
 ///  - remote_clock, freshness_lease (routing/freshness_lease.hpp): how long table copies are valid
 #pragma once
 
@@ -26,6 +27,7 @@
 #include <endivestage/routing/endpoint_notices.hpp>
 #include <endivestage/routing/freshness_lease.hpp>
 #include <endivestage/routing/load_aggregator.hpp>
+#include <endivestage/routing/observed_times.hpp>
 #include <endivestage/routing/prefix_directory.hpp>
 #include <endivestage/routing/prompt_quarantine.hpp>
 #include <endivestage/routing/quarantine_records.hpp>
--- a/endivestage/routing/endpoint_choice.cpp
+++ b/endivestage/routing/endpoint_choice.cpp
@@ -17,6 +17,17 @@
     bool overloaded = false;
     bool without_history = false; ///< The engine is not known to have the chat's history cached.
     double score = 0.0;           ///< Higher is better.
+    double first_event_ms = 0.0;  ///< Estimated time of the first event.
+    /// Place by estimate: at the history, equally good in the zone, equally good, or later.
+    int tier = 0;
+};
+
+enum : int
+{
+    tier_history,
+    tier_near_in_zone,
+    tier_near,
+    tier_later
 };
 
 double median_failure_rate(std::span<const endpoint_state* const> endpoints)
@@ -44,6 +55,94 @@
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
+bool reports_pace(std::span<const endpoint_state* const> endpoints)
+{
+    return std::any_of(endpoints.begin(), endpoints.end(),
+                       [](const endpoint_state* endpoint) { return endpoint->pace.has_value(); });
+}
+
+/// Estimates the first event at each candidate.
+/// \returns Whether there are enough observations.
+bool estimate_times(std::span<candidate> candidates, const endpoint_choice_input& input)
+{
+    for (candidate& c : candidates)
+    {
+        const time_estimate estimate =
+            input.estimator->estimate(*c.endpoint, input.work, input.now);
+        if (!estimate.known)
+        {
+            return false;
+        }
+        c.first_event_ms = static_cast<double>(estimate.first_event.count);
+    }
+    return true;
+}
+
+/// Assigns the tiers of the candidates below the load bound and orders those that are spread.
+void assign_tiers(std::span<candidate> candidates, const endpoint_choice_input& input,
+                  const endpoint_choice_config& config)
+{
+    std::vector<double> times;
+    times.reserve(candidates.size());
+    for (const candidate& c : candidates)
+    {
+        if (!c.avoided && !c.overloaded)
+        {
+            times.push_back(c.first_event_ms);
+        }
+    }
+    if (times.empty())
+    {
+        return;
+    }
+    const double best = *std::min_element(times.begin(), times.end());
+    const std::size_t multiple = std::max<std::size_t>(1, config.max_share_multiple);
+    const std::size_t min_near =
+        std::min(times.size(), (input.endpoints.size() + multiple - 1) / multiple);
+    std::vector<double>::iterator last = times.begin() + static_cast<std::ptrdiff_t>(min_near - 1);
+    std::nth_element(times.begin(), last, times.end());
+    const double near = std::max(*last, best * (1.0 + config.near_share) +
+                                            static_cast<double>(config.near_margin.count));
+    const double stay =
+        best * (1.0 + config.stay_share) + static_cast<double>(config.stay_margin.count);
+    std::size_t near_in_zone = 0;
+    for (candidate& c : candidates)
+    {
+        const bool eligible = !c.avoided && !c.overloaded;
+        const bool is_near = c.first_event_ms <= near;
+        const bool own = c.endpoint->record.zone == input.zone;
+        near_in_zone += eligible && is_near && own ? 1 : 0;
+        const bool holds = input.chat_hash && input.prefixes != nullptr && !c.without_history;
+        c.tier = holds && c.first_event_ms <= stay ? tier_history
+                 : !is_near                        ? tier_later
+                 : own                             ? tier_near_in_zone
+                                                   : tier_near;
+    }
+    const auto is_own = [&](const endpoint_state* endpoint)
+    {
+        return endpoint->record.zone == input.zone;
+    };
+    const std::size_t in_zone = static_cast<std::size_t>(
+        std::count_if(input.endpoints.begin(), input.endpoints.end(), is_own));
+    // All routers of the zone would send to these few otherwise.
+    const bool zone_counts = near_in_zone * multiple >= in_zone;
+    for (candidate& c : candidates)
+    {
+        if (c.tier == tier_near_in_zone && !zone_counts)
+        {
+            c.tier = tier_near;
+        }
+        if (c.tier == tier_later)
+        {
+            c.score = -c.first_event_ms;
+        }
+        else if (!input.chat_hash)
+        {
+            c.score = rendezvous_score(input.tie_breaker, c.endpoint->hash);
+        }
+    }
+}
+
 } // namespace
 
 std::vector<const endpoint_state*> rank_endpoints(const endpoint_directory& directory,
@@ -57,6 +156,8 @@
     }
     const double median_rate = median_failure_rate(input.endpoints);
     std::vector<candidate> candidates;
+    candidates.reserve(input.endpoints.size());
+    bool by_estimate = input.estimator != nullptr && reports_pace(input.endpoints);
     double total = 0.0;
     for (const endpoint_state* endpoint : input.endpoints)
     {
@@ -65,8 +166,8 @@
         // The fleet's load sums are not used for requests without a chat: these requests end long
         // before the sums arrive, and all routers would send to the one endpoint that was idle a
         // quarter of a second ago.
-        c.load = input.chat_hash ? directory.estimated_load(*endpoint, input.now)
-                                 : directory.observed_load(*endpoint, input.now);
+        c.load = input.chat_hash || by_estimate ? directory.estimated_load(*endpoint, input.now)
+                                                : directory.observed_load(*endpoint, input.now);
         c.avoided = input.now < endpoint->avoid_until ||
                     endpoint->failure_rate > median_rate + config.failure_margin;
         total += c.load;
@@ -82,18 +183,29 @@
             candidates.push_back(c);
         }
     }
+    by_estimate = by_estimate && estimate_times(candidates, input);
     const double mean = total / static_cast<double>(input.endpoints.size());
     const double bound = mean * config.load_factor + config.load_slack;
     for (candidate& c : candidates)
     {
-        c.overloaded = input.chat_hash && c.load + 1.0 > bound;
+        c.overloaded = (input.chat_hash || by_estimate) && c.load + 1.0 > bound;
     }
-    std::sort(candidates.begin(), candidates.end(),
-              [](const candidate& a, const candidate& b)
-              {
-                  return std::make_tuple(a.avoided, a.overloaded, a.without_history, -a.score) <
-                         std::make_tuple(b.avoided, b.overloaded, b.without_history, -b.score);
-              });
+    if (by_estimate)
+    {
+        assign_tiers(candidates, input, config);
+        // The tiers and scores say where the history counts.
+        for (candidate& c : candidates)
+        {
+            c.without_history = false;
+        }
+    }
+    std::sort(
+        candidates.begin(), candidates.end(),
+        [](const candidate& a, const candidate& b)
+        {
+            return std::make_tuple(a.avoided, a.overloaded, a.tier, a.without_history, -a.score) <
+                   std::make_tuple(b.avoided, b.overloaded, b.tier, b.without_history, -b.score);
+        });
     ranked.reserve(candidates.size());
     for (const candidate& c : candidates)
     {
--- a/endivestage/routing/endpoint_choice.hpp
+++ b/endivestage/routing/endpoint_choice.hpp
@@ -5,6 +5,7 @@
 #include <endivestage/routing/endpoint_directory.hpp>
 #include <endivestage/routing/prefix_directory.hpp>
 #include <endivestage/routing/send_limits.hpp>
+#include <endivestage/routing/time_estimate.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -24,6 +25,18 @@
     double load_slack = 3.0;
     /// An endpoint is avoided when its failure rate exceeds the pool's median by more than this.
     double failure_margin = 0.22;
+    /// Endpoints count as equally good when their estimated times exceed the best one by at most
+    /// this share of it and this time. Estimates are no more exact than that.
+    double near_share = 0.2;
+    millis near_margin{5};
+    /// A chat leaves an engine that holds its history only for one that is sooner by more than this
+    /// share of the best time and this time, since other routers know the old place only.
+    double stay_share = 0.5;
+    millis stay_margin{10};
+    /// Routers with the same information must not give an endpoint more than this multiple of its
+    /// share of the requests, because loads arrive a quarter of a second late. So at least one in
+    /// this many endpoints counts as equally good.
+    std::size_t max_share_multiple = 4;
 };
 
 /// \brief Input of rank_endpoints for one request.
@@ -37,6 +50,11 @@
     /// Engines that have the chat's history cached; null if it is not known which do.
     const prefix_directory* prefixes = nullptr;
     std::uint64_t tie_breaker = 0; ///< Random number that orders endpoints of equal load.
+    /// Estimates of the request's times; null to rank without them. Used only when an endpoint of
+    /// the service has reported its pace.
+    const time_estimator* estimator = nullptr;
+    request_work work; ///< For the estimator.
+    zone_id zone;      ///< The router's zone; empty if unknown.
 };
 
 /// \brief Ranks the endpoints that were not tried yet for a request, best first.
@@ -46,6 +64,12 @@
 /// so that a chat stays on its engine when engines join; engines above the load bound follow those
 /// below it. Requests without a chat go to the least loaded endpoint first.
 ///
+/// Where endpoints report a pace and there are enough observations, endpoints below the load bound
+/// follow each other by the estimated time of the first event. A chat stays at an engine that holds
+/// its history unless another one is clearly sooner. Among the endpoints that are about equally
+/// good, those of the router's zone precede the others, and chats are spread by rendezvous order,
+/// other requests at random. If few endpoints of the zone are among them, the zone does not count.
+///
 /// Cold endpoints keep their rank; the caller limits what is sent to them (cold_send_share).
 /// Avoided endpoints come last instead of being left out, so that a request is still tried when all
 /// endpoints are avoided.
--- a/endivestage/routing/endpoint_directory.cpp
+++ b/endivestage/routing/endpoint_directory.cpp
@@ -174,6 +174,24 @@
     }
 }
 
+void endpoint_directory::record_load_report(const endpoint_id& id, const load_report& report,
+                                            time_point now)
+{
+    record_load_report(
+        id, static_cast<double>(report.running) + static_cast<double>(report.waiting), now);
+    const auto it = endpoints_.find(id);
+    if (it == endpoints_.end())
+    {
+        return;
+    }
+    it->second.reported_slots = report.slots;
+    if (report.pace)
+    {
+        it->second.pace = report.pace;
+        it->second.pace_at = now;
+    }
+}
+
 std::vector<engine_requests> endpoint_directory::open_requests() const
 {
     std::vector<engine_requests> open;
--- a/endivestage/routing/endpoint_directory.hpp
+++ b/endivestage/routing/endpoint_directory.hpp
@@ -30,6 +30,17 @@
     std::uint32_t slots = 1;     ///< Weight of the endpoint when load is distributed.
 };
 
+/// \brief An endpoint's own report of its work.
+struct load_report
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0; ///< Requests that it runs at a time.
+    /// Time that work takes on the endpoint's host at this moment, relative to the usual time;
+    /// nothing from endpoints that do not report it.
+    std::optional<double> pace;
+};
+
 /// \brief How a request to an endpoint ended, as far as it is evidence about the endpoint.
 enum class endpoint_outcome
 {
@@ -57,6 +68,9 @@
     double reported_load = 0.0; ///< Open requests from all routers, by the endpoint's own report.
     std::uint32_t in_flight_at_report = 0;
     time_point reported_load_at{-1000000};
+    std::uint32_t reported_slots = 0; ///< 0 until reported.
+    std::optional<double> pace;       ///< Latest \ref load_report::pace of this incarnation.
+    time_point pace_at{-1000000};     ///< When \ref pace was reported.
     /// Open requests of all other routers, from the sums that a relay distributes.
     double other_routers_in_flight = 0.0;
     /// When the record was removed after an outage of the table; the endpoint is kept for the grace
@@ -126,6 +140,9 @@
     /// \brief Records an endpoint's own report of how many requests it has open.
     void record_load_report(const endpoint_id& id, double requests, time_point now);
 
+    /// \brief Records an endpoint's whole report.
+    void record_load_report(const endpoint_id& id, const load_report& report, time_point now);
+
     /// \returns This router's open requests per endpoint, to be reported to its relay.
     std::vector<engine_requests> open_requests() const;
 
--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -194,6 +194,9 @@
     input.chat_hash = decoded_.chat_hash;
     input.prefixes = &state_.prefixes;
     input.tie_breaker = state_.random.next();
+    input.estimator = &state_.times;
+    input.work = work();
+    input.zone = state_.zone;
     if (decoded_.chat_hash)
     {
         rendezvous_pair_ = find_rendezvous_pair(available, *decoded_.chat_hash);
@@ -211,6 +214,15 @@
     return nullptr;
 }
 
+request_work exchange::work() const
+{
+    request_work described;
+    described.route = route_->name;
+    described.prompt_tokens = decoded_.prompt_tokens;
+    described.shared_prompt = decoded_.shared_prompt;
+    return described;
+}
+
 bool exchange::is_usable(const endpoint_record& endpoint) const
 {
     const time_point now = state_.time.now();
@@ -278,6 +290,7 @@
         }
         tried_.push_back(endpoint.id);
         last_endpoint_ = endpoint.id;
+        record_conditions(*chosen);
         state_.endpoints.begin_request(endpoint.id);
         const endpoint_outcome outcome = co_await attempt(endpoint);
         const millis cold_period = profile_ != nullptr ? profile_->cold_period : millis{0};
--- a/endivestage/serving/exchange.hpp
+++ b/endivestage/serving/exchange.hpp
@@ -60,6 +60,12 @@
     daemon::awaitable<void> finish_after_failure(next_step step, endpoint_outcome outcome);
     /// \returns Whether an endpoint that was chosen may still get the request.
     bool is_usable(const endpoint_record& endpoint) const;
+    /// \returns The work of this request for the estimator; refers to this exchange.
+    request_work work() const;
+    void record_conditions(const endpoint_state& endpoint);
+    void record_first_event_time();
+    void record_completion_time();
+    void record_unknown_load(std::size_t figures);
     void record_endpoint_state(const endpoint_record& endpoint, const response_info& info);
     void record_notices(const endpoint_record& endpoint, const response_info& info);
     void log_placement(const forwarding_info& info) const;
@@ -89,6 +95,11 @@
     bool caller_left_ = false;
     bool stopping_ = false;
     attempt_history history_;
+    attempt_conditions sent_conditions_; ///< Of the present attempt.
+    time_point sent_at_;                 ///< When the present attempt was sent.
+    time_point first_event_at_;          ///< First event or head of the present attempt.
+    /// Estimate for the present attempt; unknown with too few observations.
+    time_estimate sent_estimate_;
     std::vector<endpoint_id> tried_;
     rendezvous_pair rendezvous_pair_;
     /// Time until an endpoint returns, if all endpoints want no requests for a while.
--- a/endivestage/serving/exchange_attempt.cpp
+++ b/endivestage/serving/exchange_attempt.cpp
@@ -119,6 +119,7 @@
     info.time_left = time.remaining;
     info.last_event_id = framer_.last_event_id() ? framer_.last_event_id() : decoded_.last_event_id;
     info.copy_from = find_copy_source(endpoint.id);
+    sent_at_ = state_.time.now();
     log_placement(info);
     const millis max_wait = first_response_timeout(*route_, history_, time);
     ++history_.sends;
@@ -165,6 +166,8 @@
          {"route", route_->name},
          {"endpoint", info.endpoint},
          {"load", endpoint != nullptr ? state_.endpoints.estimated_load(*endpoint, now) : 0.0},
+         {"pace", endpoint != nullptr ? state_.times.pace(*endpoint, now) : 1.0},
+         {"estimate_ms", sent_estimate_.known ? sent_estimate_.first_event : millis{-1}},
          {"cold", endpoint != nullptr && endpoint->is_cold(now)},
          {"history",
           decoded_.chat_hash &&
@@ -221,6 +224,55 @@
     co_return make_error_code(errc::answer_mismatch);
 }
 
+void exchange::record_conditions(const endpoint_state& endpoint)
+{
+    const time_point now = state_.time.now();
+    sent_conditions_ = state_.times.conditions(endpoint, work(), now);
+    sent_estimate_ = state_.times.estimate(endpoint, work(), now);
+}
+
+void exchange::record_first_event_time()
+{
+    first_event_at_ = state_.time.now();
+    const endpoint_state* endpoint = state_.endpoints.find(last_endpoint_);
+    // A resumed stream needs less work than the conditions say.
+    if (endpoint == nullptr || history_.response_started || decoded_.last_event_id)
+    {
+        return;
+    }
+    const millis took = first_event_at_ - sent_at_;
+    state_.times.record_first_event(sent_conditions_, state_.times.pace(*endpoint, first_event_at_),
+                                    took);
+    if (sent_estimate_.known)
+    {
+        state_.metrics.record_estimate(sent_estimate_.first_event, took);
+    }
+}
+
+void exchange::record_completion_time()
+{
+    const time_point now = state_.time.now();
+    const endpoint_state* endpoint = state_.endpoints.find(last_endpoint_);
+    if (endpoint != nullptr && history_.possible_executions == 0 && !decoded_.last_event_id)
+    {
+        state_.times.record_completion(sent_conditions_, state_.times.pace(*endpoint, now),
+                                       now - first_event_at_);
+    }
+}
+
+void exchange::record_unknown_load(std::size_t figures)
+{
+    state_.metrics.record_unknown_load_report();
+    std::erase_if(state_.logged_load_reports,
+                  [](const std::weak_ptr<daemon::http_connection>& connection)
+                  { return connection.expired(); });
+    if (state_.logged_load_reports.insert(connection_).second)
+    {
+        log_event(log_level::warning, "load_report_unknown",
+                  {{"request", decoded_.id}, {"endpoint", last_endpoint_}, {"figures", figures}});
+    }
+}
+
 void exchange::record_endpoint_state(const endpoint_record& endpoint, const response_info& info)
 {
     const time_point now = state_.time.now();
@@ -228,6 +280,10 @@
     {
         state_.endpoints.record_load_report(endpoint.id, *info.load, now);
     }
+    if (info.unknown_load_figures)
+    {
+        record_unknown_load(*info.unknown_load_figures);
+    }
     if (info.cold_left && *info.cold_left > millis{0})
     {
         state_.endpoints.record_cold_report(endpoint.id, *info.cold_left, now);
--- a/endivestage/serving/exchange_response.cpp
+++ b/endivestage/serving/exchange_response.cpp
@@ -55,8 +55,12 @@
 
 awaitable<endpoint_outcome> exchange::forward_body()
 {
-    result<std::string> body = co_await read_response_body(time_left());
     const response_info& info = response_.info;
+    if (info.success)
+    {
+        record_first_event_time();
+    }
+    result<std::string> body = co_await read_response_body(time_left());
     if (info.misdirected)
     {
         co_return endpoint_outcome::misdirected;
@@ -82,6 +86,7 @@
     response.body = std::move(response_body_);
     if (info.success)
     {
+        record_completion_time();
         record_served_prompt();
     }
     record_end("served", response.status);
@@ -157,6 +162,7 @@
                 state_.metrics.record_first_event(state_.time.now() - request_.received);
                 // The first event shows that the engine has processed the prompt and caches it.
                 record_prefixes(last_endpoint_);
+                record_first_event_time();
             }
             else
             {
@@ -178,6 +184,7 @@
             {
                 co_return endpoint_outcome::broken;
             }
+            record_completion_time();
             record_served_prompt();
             record_end("served", response_.head.status);
             co_await caller_.end();
--- a/endivestage/serving/router_metrics.cpp
+++ b/endivestage/serving/router_metrics.cpp
@@ -50,6 +50,24 @@
         .observe(to_seconds(latency));
 }
 
+void router_metrics::record_unknown_load_report()
+{
+    registry_
+        .get_counter("endivestage_unknown_load_reports_total",
+                     "Load reports of endpoints with an unknown number of figures.")
+        .add();
+}
+
+void router_metrics::record_estimate(millis estimated, millis took)
+{
+    const bool late = took > estimated;
+    registry_
+        .get_distribution("endivestage_estimate_error_seconds",
+                          "Difference between a first event's time and its estimate.",
+                          {{"first_event", late ? "later" : "sooner"}})
+        .observe(to_seconds(late ? took - estimated : estimated - took));
+}
+
 void router_metrics::record_connection(bool success)
 {
     registry_
--- a/endivestage/serving/router_metrics.hpp
+++ b/endivestage/serving/router_metrics.hpp
@@ -45,6 +45,10 @@
     void record_notice(std::string_view kind);
     /// \param latency Time from the first byte of the request to the first event of its stream.
     void record_first_event(millis latency);
+    /// \brief Counts a load report with an unknown number of figures.
+    void record_unknown_load_report();
+    /// \param estimated,took Time from sending a request to its first event.
+    void record_estimate(millis estimated, millis took);
     void record_connection(bool success);
     /// \param delay How late a timer of the event loop was handled.
     void record_loop_delay(millis delay);
--- a/endivestage/serving/router_state.hpp
+++ b/endivestage/serving/router_state.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -64,7 +65,8 @@
           operations_lease(b.max_revocation_delay - revocation_margin),
           pool(t),
           quarantine(hash64(self.view())),
-          notices(hash64(self.view()))
+          notices(hash64(self.view())),
+          times(endpoints, prefixes)
     {
     }
 
@@ -99,6 +101,10 @@
     std::vector<queued_part_report> pending_part_reports; ///< Not yet sent to other routers.
     endpoint_choice_config choice;
     endpoint_notices notices;
+    observed_times times; ///< Estimates when endpoints would answer.
+    zone_id zone;         ///< Zone of this router.
+    /// Open connections whose unknown load reports were logged.
+    std::set<std::weak_ptr<daemon::http_connection>, std::owner_less<>> logged_load_reports;
     lifecycle_state lifecycle = lifecycle_state::starting;
     std::size_t open_requests = 0;
     /// Set once a stopping router has left all address responses or half of its time has passed: a
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -113,6 +113,7 @@
       quarantine_records_(hash64(settings_.name.view()))
 {
     state_.routers = {settings_.name};
+    state_.zone = settings_.zone;
     state_.response_memory =
         buffer_budget(settings_.memory / router_state::response_memory_divisor);
     state_.random = seeded_random(
--- a/endivestage/serving/wire_codec.hpp
+++ b/endivestage/serving/wire_codec.hpp
@@ -52,8 +52,11 @@
     bool success = false;            ///< The status is 2xx.
     bool is_event_stream = false;    ///< The body is an event stream.
     bool from_endpoint = false;      ///< The response is marked as produced by an endpoint.
-    std::optional<double> load;      ///< Requests that the endpoint runs or queues.
-    std::optional<millis> cold_left; ///< Time for which the endpoint stays cold.
+    std::optional<load_report> load; ///< The endpoint's report of its work.
+    /// Set when the report has an unknown number of figures or one that is not a number: how many
+    /// figures it has. The known ones before that are decoded all the same.
+    std::optional<std::size_t> unknown_load_figures;
+    std::optional<millis> cold_left;    ///< Time for which the endpoint stays cold.
     std::optional<millis> idle_timeout; ///< The endpoint closes idle connections after this.
     bool leaving = false;               ///< The endpoint will stop soon.
     /// The endpoint refused the request and wants no further ones for this time.
