Place a chat alike on all routers, whatever their zone

Cause: with estimates, routers of each zone preferred an engine of their own zone for a chat without a known history, and followed small differences between estimates. Each further engine read the chat's prompt again. Change: the zone counts for requests without a chat only. For a chat, all engines that are not clearly later than the best one are equally good and follow in rendezvous order.

--- a/endivestage/routing/endpoint_choice.cpp
+++ b/endivestage/routing/endpoint_choice.cpp
@@ -101,16 +101,19 @@
         std::min(times.size(), (input.endpoints.size() + multiple - 1) / multiple);
     std::vector<double>::iterator last = times.begin() + static_cast<std::ptrdiff_t>(min_near - 1);
     std::nth_element(times.begin(), last, times.end());
-    const double near = std::max(*last, best * (1.0 + config.near_share) +
-                                            static_cast<double>(config.near_margin.count));
     const double stay =
         best * (1.0 + config.stay_share) + static_cast<double>(config.stay_margin.count);
+    const double equal =
+        best * (1.0 + config.near_share) + static_cast<double>(config.near_margin.count);
+    // Routers of all zones must place a chat alike, whatever small differences their estimates
+    // have: each further engine would read its prompt again.
+    const double near = std::max(*last, input.chat_hash ? stay : equal);
     std::size_t near_in_zone = 0;
     for (candidate& c : candidates)
     {
         const bool eligible = !c.avoided && !c.overloaded;
         const bool is_near = c.first_event_ms <= near;
-        const bool own = c.endpoint->record.zone == input.zone;
+        const bool own = !input.chat_hash && c.endpoint->record.zone == input.zone;
         near_in_zone += eligible && is_near && own ? 1 : 0;
         const bool holds = input.chat_hash && input.prefixes != nullptr && !c.without_history;
         c.tier = holds && c.first_event_ms <= stay ? tier_history
--- a/endivestage/routing/endpoint_choice.hpp
+++ b/endivestage/routing/endpoint_choice.hpp
@@ -67,8 +67,9 @@
 /// Where endpoints report a pace and there are enough observations, endpoints below the load bound
 /// follow each other by the estimated time of the first event. A chat stays at an engine that holds
 /// its history unless another one is clearly sooner. Among the endpoints that are about equally
-/// good, those of the router's zone precede the others, and chats are spread by rendezvous order,
-/// other requests at random. If few endpoints of the zone are among them, the zone does not count.
+/// good, chats are spread by rendezvous order, so that all routers place a chat alike. Other
+/// requests are spread at random; endpoints of the router's zone precede the others, unless few of
+/// them are among the good ones.
 ///
 /// Cold endpoints keep their rank; the caller limits what is sent to them (cold_send_share).
 /// Avoided endpoints come last instead of being left out, so that a request is still tried when all
