Hold and refuse requests to services without room

Cause: routers sent every request on at once, however full the service was, and refused with 250 ms whatever the backlog. Change: exchange::wait_for_room asks the service's admission between the choice of the target and the first attempt. A held request wakes when room comes, its wait ends, its caller disconnects or the router stops. Settings section overload, metrics, events. The first refusals of a contention use the rate at which own requests end; without any rate nothing is refused for a backlog. Before: 20 requests at once to an engine of one slot were all sent. Conclusion: the whole path works in one process; loads of whole fleets are to be measured.

--- a/endivestage/overload/service_admission.cpp
+++ b/endivestage/overload/service_admission.cpp
@@ -27,6 +27,8 @@
 constexpr double min_spread = 0.75;
 constexpr double spread_width = 0.75;
 constexpr std::uint64_t spread_steps = 1024;
+/// With a smaller part of the slots taken nothing is refused.
+constexpr double min_taken_slots = 0.6;
 /// Rank of a request that is compared with none.
 constexpr double middle_quantile = 0.5;
 /// Weight of one estimate in the mean of a service.
@@ -55,7 +57,8 @@
     : config_(config),
       order_(order),
       shares_(config.shares),
-      released_(rate_memory)
+      released_(rate_memory),
+      ended_(rate_memory)
 {
 }
 
@@ -78,10 +81,28 @@
     return std::clamp(expected / mean_completion_, min_work, max_work);
 }
 
+double service_admission::open_requests() const
+{
+    return std::max(0.0, load_.open_requests + own_requests_ - own_requests_at_update_);
+}
+
 double service_admission::open_work() const
 {
-    return std::max(0.0, load_.open_requests + own_requests_ - own_requests_at_update_) +
-           own_work_ - own_requests_;
+    return open_requests() + own_work_ - own_requests_;
+}
+
+bool service_admission::is_busy() const
+{
+    return config_.enabled && (!load_.current || open_work() >= load_.slots * min_taken_slots);
+}
+
+bool service_admission::observe(time_point now)
+{
+    if (config_.enabled && load_.slots > 0.0 && room(middle_quantile) <= 0.0)
+    {
+        full_at_ = now;
+    }
+    return config_.enabled && is_contended(now);
 }
 
 double service_admission::room(double rank_quantile) const
@@ -104,10 +125,12 @@
            (room(middle_quantile) <= 0.0 || !queue_.empty() || now - full_at_ < contention_hold);
 }
 
-// Without current totals only what endpoints reported tells that they are full.
+// Without current totals only what endpoints reported tells that they are full. Large requests can
+// reach the bound while slots are free, which is a reason to wait but not to refuse.
 bool service_admission::may_refuse() const
 {
-    return load_.slots > 0.0 && open_work() >= load_.slots;
+    return load_.slots > 0.0 && open_work() >= load_.slots &&
+           open_requests() >= load_.slots * min_taken_slots;
 }
 
 service_admission::ranked_request service_admission::rank(const pending_request& request,
@@ -155,10 +178,16 @@
     return std::max(millis{0}, std::min(wait, left - request.expected_completion));
 }
 
+// Before the first releases of a contention the rate is that at which own requests ended.
+double service_admission::drain_rate(time_point now) const
+{
+    return std::max(released_.read(now), ended_.read(now)) / static_cast<double>(rate_memory.count);
+}
+
 std::optional<millis> service_admission::retry_after(std::uint64_t spread, millis time_left,
                                                      time_point now) const
 {
-    const double rate = released_.read(now) / static_cast<double>(rate_memory.count);
+    const double rate = drain_rate(now);
     if (load_.slots <= 0.0 || rate <= 0.0 || !is_contended(now))
     {
         return std::nullopt;
@@ -213,11 +242,11 @@
         ahead += precedes ? other.request.work : 0.0;
         lower += precedes ? 0 : 1;
     }
-    const double rate = released_.read(now) / static_cast<double>(rate_memory.count);
+    const double rate = drain_rate(now);
     const double limit =
         static_cast<double>(max_wait(request, now).count) * config_.estimate_margin;
     // The first in the queue waits in any case, because room may come at any time.
-    if (ahead > 0.0 && ahead > limit * rate)
+    if (ahead > 0.0 && rate > 0.0 && ahead > limit * rate)
     {
         return refuse(request, "backlog", now);
     }
@@ -275,11 +304,7 @@
 
 admission_decision service_admission::offer(const pending_request& request, time_point now)
 {
-    if (config_.enabled && load_.slots > 0.0 && room(middle_quantile) <= 0.0)
-    {
-        full_at_ = now;
-    }
-    if (!config_.enabled || !is_contended(now))
+    if (!observe(now))
     {
         credit_ = 0.0;
         credit_at_ = now;
@@ -323,15 +348,15 @@
                   return std::make_tuple(!a.below_floor, -a.rank, a.request.number) <
                          std::make_tuple(!b.below_floor, -b.rank, b.request.number);
               });
-    const bool relieved =
-        load_.slots <= 0.0 || !config_.enabled || (load_.current && open_work() < load_.slots);
+    const bool unbounded = load_.slots <= 0.0 || !config_.enabled;
     // Released requests are not counted as open before begin() is called for them.
     double sent = 0.0;
     std::vector<ranked_request>::iterator it = queue_.begin();
     for (; it != queue_.end(); ++it)
     {
         const bool fits = credit_ >= 1.0 && room(rank_quantile(*it)) > sent;
-        if (!fits && !(relieved && open_work() + sent < load_.slots))
+        const bool relieved = load_.current && open_work() + sent < load_.slots;
+        if (!fits && !relieved && !unbounded)
         {
             break;
         }
@@ -381,6 +406,7 @@
 {
     own_requests_ -= 1.0;
     own_work_ -= work;
+    ended_.add(work, now);
     if (load_.current && is_contended(now) && room(1.0) > 0.0)
     {
         credit_ = std::min(max_credit, credit_ + 1.0);
--- a/endivestage/overload/service_admission.hpp
+++ b/endivestage/overload/service_admission.hpp
@@ -111,10 +111,17 @@
     /// \brief What \ref offer would answer, without a change of state.
     admission_decision preview(const pending_request& request, time_point now) const;
 
+    /// \returns Whether requests are to be offered now; otherwise they go on without that.
+    bool observe(time_point now);
+
+    /// \returns Whether there is so much work that the sizes of requests matter.
+    bool is_busy() const;
     bool is_contended(time_point now) const;
     std::size_t waiting() const { return queue_.size(); }
     const service_load& load() const { return load_; }
     time_point load_updated_at() const { return load_updated_at_; }
+    /// \returns Open requests of all routers.
+    double open_requests() const;
     /// \returns Open work of all routers, in mean requests.
     double open_work() const;
     double bound() const { return load_.slots * config_.bound_factor; }
@@ -131,6 +138,8 @@
     double rank_quantile(const ranked_request& ranked) const;
     ranked_request rank(const pending_request& request, time_point now) const;
     bool may_refuse() const;
+    /// \returns Work per ms for which room comes at this router; 0 when unknown.
+    double drain_rate(time_point now) const;
     bool may_go_on(const ranked_request& ranked) const;
     millis max_wait(const pending_request& request, time_point now) const;
     std::optional<admission_decision> find_refusal(const ranked_request& ranked,
@@ -155,6 +164,7 @@
     time_point full_at_{-1000000}; ///< When there was no room last.
     served_shares shares_;
     decaying_sum released_; ///< Work that went on under contention.
+    decaying_sum ended_;    ///< Work of own requests that ended.
 };
 
 } // namespace endivestage
--- a/endivestage/routing/endpoint_directory.hpp
+++ b/endivestage/routing/endpoint_directory.hpp
@@ -149,6 +149,12 @@
     /// there are no recent sums.
     double estimated_load(const endpoint_state& endpoint, time_point now) const;
 
+    /// \returns Whether the fleet's load sums are recent enough for \ref estimated_load.
+    bool has_current_loads(time_point now) const
+    {
+        return now - fleet_loads_at_ <= config_.fleet_loads_ttl;
+    }
+
     /// \returns The same estimate from this router's own requests and the endpoint's reports alone.
     double observed_load(const endpoint_state& endpoint, time_point now) const;
 
--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -26,7 +26,8 @@
 constexpr millis retry_after_starting{300};
 /// Retry delay while this router stops. Other routers can serve the request at once.
 constexpr millis retry_after_stopping{50};
-/// Retry delay when endpoints refuse requests; they must complete some of their work first.
+/// Retry delay when endpoints refuse requests and the backlog is not known; they must complete some
+/// of their work first.
 constexpr millis retry_after_overload{250};
 
 } // namespace
@@ -138,13 +139,18 @@
             if (self)
             {
                 self->caller_left_ = true;
+                self->cancel_wait();
                 if (self->connection_)
                 {
                     self->connection_->close();
                 }
             }
         });
-    co_await try_endpoints();
+    const bool has_room = co_await wait_for_room();
+    if (has_room)
+    {
+        co_await try_endpoints();
+    }
 }
 
 void exchange::stop()
@@ -154,6 +160,7 @@
         return;
     }
     stopping_ = true;
+    cancel_wait();
     if (connection_)
     {
         connection_->close();
@@ -279,6 +286,9 @@
         tried_.push_back(endpoint.id);
         last_endpoint_ = endpoint.id;
         state_.endpoints.begin_request(endpoint.id);
+        const open_work_count counted(state_.overload.service(service_), relative_work_,
+                                      state_.time);
+        const time_point sent = state_.time.now();
         const endpoint_outcome outcome = co_await attempt(endpoint);
         const millis cold_period = profile_ != nullptr ? profile_->cold_period : millis{0};
         if (caller_left_)
@@ -290,6 +300,7 @@
         }
         state_.endpoints.end_request(endpoint.id, outcome, state_.time.now(), cold_period);
         state_.metrics.record_attempt(outcome);
+        record_served_times(outcome, sent);
         if (outcome == endpoint_outcome::served)
         {
             co_return;
@@ -348,7 +359,7 @@
     if (step == next_step::refuse && history_.possible_executions == 0)
     {
         const bool unreachable = outcome == endpoint_outcome::unreachable;
-        millis retry_after = retry_after_overload;
+        millis retry_after = refusal_delay(retry_after_overload);
         if (first_return_)
         {
             // Later than that the caller would have too little time left for another try.
--- a/endivestage/serving/exchange.hpp
+++ b/endivestage/serving/exchange.hpp
@@ -8,6 +8,7 @@
 #include <endivestage/serving/router_state.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,6 +42,17 @@
     };
 
     daemon::awaitable<bool> refuse_quarantined();
+    /// \brief Waits until the service has room for the request.
+    /// \returns False when the exchange has ended without it.
+    daemon::awaitable<bool> wait_for_room();
+    daemon::awaitable<admission_decision> sleep_until_room(std::uint64_t number, millis max_wait);
+    overload_inputs load_inputs() const;
+    request_work describe_work() const;
+    pending_request describe_pending(const time_estimate& estimate) const;
+    void record_served_times(endpoint_outcome outcome, time_point sent) const;
+    /// \returns When a refused caller should return: when the backlog has drained, if it is known.
+    millis refusal_delay(millis fallback);
+    void cancel_wait();
     daemon::awaitable<void> try_endpoints();
     const endpoint_state* choose_endpoint();
     std::optional<daemon::network_address> find_copy_source(const endpoint_id& target) const;
@@ -80,6 +92,11 @@
     const service_profile* profile_ = nullptr;
     team_id team_;
     std::uint32_t priority_ = 0;
+    request_work work_;          ///< Refers to \ref decoded_ and \ref routes_.
+    double relative_work_ = 1.0; ///< Relative to the service's mean request.
+    /// Ends the wait for room; null unless the request waits.
+    std::shared_ptr<boost::asio::steady_timer> room_timer_;
+    std::optional<time_point> first_event_at_; ///< Nothing for plain answers.
     time_point deadline_; ///< Earlier of the caller's deadline and the route's timeout.
 
     std::shared_ptr<daemon::http_connection> connection_;
--- a/endivestage/serving/exchange_response.cpp
+++ b/endivestage/serving/exchange_response.cpp
@@ -154,7 +154,8 @@
         {
             if (first)
             {
-                state_.metrics.record_first_event(state_.time.now() - request_.received);
+                first_event_at_ = state_.time.now();
+                state_.metrics.record_first_event(*first_event_at_ - request_.received);
                 // The first event shows that the engine has processed the prompt and caches it.
                 record_prefixes(last_endpoint_);
             }
--- a/endivestage/serving/router_metrics.cpp
+++ b/endivestage/serving/router_metrics.cpp
@@ -50,6 +50,23 @@
         .observe(to_seconds(latency));
 }
 
+void router_metrics::record_admission(std::string_view decision)
+{
+    registry_
+        .get_counter("endivestage_admissions_total",
+                     "Requests to contended services by what was decided.",
+                     {{"decision", std::string(decision)}})
+        .add();
+}
+
+void router_metrics::record_room_wait(millis wait)
+{
+    registry_
+        .get_distribution("endivestage_room_wait_seconds",
+                          "Time for which requests waited for room at their service.")
+        .observe(to_seconds(wait));
+}
+
 void router_metrics::record_connection(bool success)
 {
     registry_
@@ -74,6 +91,8 @@
     };
     set_gauge("endivestage_open_requests", "Requests being served.",
               static_cast<double>(values.open_requests));
+    set_gauge("endivestage_waiting_requests", "Requests that wait for room at their service.",
+              static_cast<double>(values.waiting_requests));
     set_gauge("endivestage_idle_connections", "Kept connections to endpoints without a request.",
               static_cast<double>(values.idle_connections));
     set_gauge("endivestage_endpoints", "Endpoints that are known.",
--- a/endivestage/serving/router_metrics.hpp
+++ b/endivestage/serving/router_metrics.hpp
@@ -18,6 +18,7 @@
 {
     std::size_t open_requests = 0;
     std::size_t idle_connections = 0;
+    std::size_t waiting_requests = 0; ///< Requests that wait for room at their service.
     std::size_t endpoints = 0;
     std::size_t routers = 0;
     std::uint64_t config_version = 0;
@@ -45,6 +46,10 @@
     void record_notice(std::string_view kind);
     /// \param latency Time from the first byte of the request to the first event of its stream.
     void record_first_event(millis latency);
+    /// \param decision "admitted", or why a request was refused or dropped; one of a fixed set.
+    void record_admission(std::string_view decision);
+    /// \param wait Time for which a request waited for room at its service.
+    void record_room_wait(millis wait);
     void record_connection(bool success);
     /// \param delay How late a timer of the event loop was handled.
     void record_loop_delay(millis delay);
--- a/endivestage/serving/router_state.hpp
+++ b/endivestage/serving/router_state.hpp
@@ -5,6 +5,7 @@
 #include <endivestage/core.hpp>
 #include <endivestage/routing.hpp>
 #include <endivestage/serving/connection_pool.hpp>
+#include <endivestage/serving/overload_control.hpp>
 #include <endivestage/serving/router_metrics.hpp>
 #include <endivestage/serving/wire_codec.hpp>
 
@@ -99,6 +100,7 @@
     std::vector<queued_part_report> pending_part_reports; ///< Not yet sent to other routers.
     endpoint_choice_config choice;
     endpoint_notices notices;
+    overload_control overload;
     lifecycle_state lifecycle = lifecycle_state::starting;
     std::size_t open_requests = 0;
     /// Set once a stopping router has left all address responses or half of its time has passed: a
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -115,6 +115,7 @@
     state_.routers = {settings_.name};
     state_.response_memory =
         buffer_budget(settings_.memory / router_state::response_memory_divisor);
+    state_.overload.set_config(settings_.overload);
     state_.random = seeded_random(
         hash64(settings_.name.view(), static_cast<std::uint64_t>(time_.wall_now().since_epoch)));
 }
@@ -335,6 +336,7 @@
     router_gauges gauges;
     gauges.open_requests = state_.open_requests;
     gauges.idle_connections = state_.pool.size();
+    gauges.waiting_requests = state_.overload.waiting();
     gauges.endpoints = state_.endpoints.size();
     gauges.routers = state_.routers.size();
     gauges.notices = state_.notices.size();
@@ -481,6 +483,8 @@
 {
     settings_.bounds = settings.bounds;
     state_.bounds = settings.bounds;
+    settings_.overload = settings.overload;
+    state_.overload.set_config(settings.overload);
     log_event(log_level::info, "settings_reloaded");
 }
 
--- a/endivestage/serving/settings.cpp
+++ b/endivestage/serving/settings.cpp
@@ -64,6 +64,12 @@
         return value != nullptr && value->is_bool() && value->get_bool();
     }
 
+    bool read_optional_flag(std::string_view section, std::string_view key, bool fallback)
+    {
+        return daemon::get_object(root_, section).contains(key) ? read_flag(section, key)
+                                                                : fallback;
+    }
+
     double read_number(std::string_view section, std::string_view key, double min_value,
                        double max_value)
     {
@@ -130,6 +136,22 @@
     std::vector<settings_fault>& faults_;
 };
 
+overload_config read_overload(settings_reader& reader)
+{
+    overload_config read;
+    read.enabled = reader.read_optional_flag("overload", "enabled", read.enabled);
+    read.bound_factor =
+        reader.read_optional_number("overload", "bound_factor", 1.0, 100.0, read.bound_factor);
+    read.rank_band = reader.read_optional_number("overload", "rank_band", 0.0, 0.5, read.rank_band);
+    read.wait_share =
+        reader.read_optional_number("overload", "wait_share", 0.0, 1.0, read.wait_share);
+    read.max_waiting = static_cast<std::size_t>(reader.read_optional_number(
+        "overload", "max_waiting", 0, 1e6, static_cast<double>(read.max_waiting)));
+    read.stale_share =
+        reader.read_optional_number("overload", "stale_share", 1.0, 1000.0, read.stale_share);
+    return read;
+}
+
 } // namespace
 
 settings_outcome parse_server_settings(std::string_view text)
@@ -172,6 +194,7 @@
     settings.bounds.stop_grace = reader.read_seconds("bounds", "stop_grace_s", 1, 600);
     settings.bounds.address_lifetime = std::min(
         reader.read_seconds("bounds", "address_lifetime_s", 0.5, 600), max_address_lifetime);
+    settings.overload = read_overload(reader);
     return outcome;
 }
 
--- a/endivestage/serving/settings.hpp
+++ b/endivestage/serving/settings.hpp
@@ -29,6 +29,7 @@
     double cpu_share = 1.0;   ///< Processor cores that the host grants; may be a fraction.
     std::size_t memory = router_state::default_host_memory; ///< Bytes that the host grants.
     server_bounds bounds;
+    overload_config overload;
 };
 
 /// \brief An invalid or missing setting.
--- a/tests/daemon_serving_settings_test.cpp
+++ b/tests/daemon_serving_settings_test.cpp
@@ -52,6 +52,22 @@
     REQUIRE(has_fault(parse_server_settings(bad_memory), "router.memory_mb", "out_of_range"));
 }
 
+// Guards against overload settings that are required, ignored or taken out of their range.
+TEST_CASE("overload settings are optional and checked")
+{
+    REQUIRE(parse_server_settings(good).settings.overload.enabled);
+    const std::string changed =
+        replace(good, "\"unknown\": 1", R"("overload":{"enabled":false,"bound_factor":1.5})");
+    const settings_outcome outcome = parse_server_settings(changed);
+    REQUIRE(outcome.faults.empty());
+    REQUIRE_FALSE(outcome.settings.overload.enabled);
+    REQUIRE(outcome.settings.overload.bound_factor == 1.5);
+    const std::string bad =
+        replace(good, "\"unknown\": 1", R"("overload":{"enabled":1,"bound_factor":0.5})");
+    REQUIRE(has_fault(parse_server_settings(bad), "overload.enabled", "not_a_flag"));
+    REQUIRE(has_fault(parse_server_settings(bad), "overload.bound_factor", "out_of_range"));
+}
+
 // All faults are reported at once, so that an operator need not fix them one at a time.
 TEST_CASE("each invalid or missing setting gives one fault with its key")
 {
