Keep endpoints that hang from making a service seem full

Cause: found on reading the code: requests that pile up at one endpoint that hangs raise the sum of open requests above the bound of all, so that others would wait or be refused while their endpoints have room. Credit of an earlier contention was kept. Change: an endpoint counts with at most twice its slots, and not while it is avoided; credit ends with the contention; a wait that ends because its caller has left is not counted as served. Before: no limit. After: overload_admission_test, overload_replay_test, daemon_overload_test and daemon_endpoint_trouble_test pass. Conclusion: a test with an endpoint that hangs is still to be written.

--- a/endivestage/overload/service_admission.cpp
+++ b/endivestage/overload/service_admission.cpp
@@ -98,11 +98,21 @@
 
 bool service_admission::observe(time_point now)
 {
-    if (config_.enabled && load_.slots > 0.0 && room(middle_quantile) <= 0.0)
+    if (!config_.enabled)
+    {
+        return false;
+    }
+    if (load_.slots > 0.0 && room(middle_quantile) <= 0.0)
     {
         full_at_ = now;
     }
-    return config_.enabled && is_contended(now);
+    const bool contended = is_contended(now);
+    if (!contended)
+    {
+        credit_ = 0.0;
+        credit_at_ = now;
+    }
+    return contended;
 }
 
 double service_admission::room(double rank_quantile) const
@@ -306,8 +316,6 @@
 {
     if (!observe(now))
     {
-        credit_ = 0.0;
-        credit_at_ = now;
         return preview(request, now);
     }
     shares_.record_offered(request, now);
--- a/endivestage/serving/exchange_waiting.cpp
+++ b/endivestage/serving/exchange_waiting.cpp
@@ -188,7 +188,7 @@
         co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ec));
     }
     room_timer_.reset();
-    if (!service.is_sleeping(number))
+    if (!service.is_sleeping(number) || caller_left_ || stopping_)
     {
         co_return admission_decision{};
     }
--- a/endivestage/serving/overload_control.cpp
+++ b/endivestage/serving/overload_control.cpp
@@ -11,6 +11,9 @@
 /// Loads change little within this time, whereas summing them for each request would cost a pass
 /// over all endpoints. The router's own requests are counted without delay.
 constexpr millis refresh_interval{20};
+/// An endpoint counts with at most this multiple of its slots. Requests that pile up at one
+/// endpoint that hangs must not make the others seem full.
+constexpr double max_fill = 2.0;
 
 } // namespace
 
@@ -30,8 +33,14 @@
     roomiest_ = endpoint_id();
     for (const endpoint_state* endpoint : usable.endpoints)
     {
+        if (now < endpoint->avoid_until)
+        {
+            // It gets no new requests, so neither its slots nor its open requests count.
+            continue;
+        }
         const double slots = endpoint->record.slots;
-        const double open = inputs.endpoints.estimated_load(*endpoint, now);
+        const double open =
+            std::min(inputs.endpoints.estimated_load(*endpoint, now), slots * max_fill);
         load.slots += slots;
         load.open_requests += open;
         if (roomiest_.empty() || (slots - open) / slots > most_room)
