--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -24,7 +24,8 @@
 constexpr millis retry_after_stale_copy{50};
 /// Retry delay while this router stops. Other routers can serve the request at once.
 constexpr millis retry_after_stopping{50};
-/// Retry delay when endpoints refuse requests; they must complete some of their work first.
+/// Retry delay when endpoints refuse requests and the backlog is not known; they must complete some
+/// of their work first.
 constexpr millis retry_after_overload{250};
 
 } // namespace
@@ -137,7 +138,11 @@
     service_ = choose_target(*route_, decoded_.chat_hash.value_or(hash64(decoded_.id.view())));
     profile_ = routes_->find_service(service_);
     watch_caller();
-    co_await try_endpoints();
+    const bool has_room = co_await wait_for_room();
+    if (has_room)
+    {
+        co_await try_endpoints();
+    }
 }
 
 void exchange::watch_caller()
@@ -155,6 +160,7 @@
             if (self)
             {
                 self->caller_left_ = true;
+                self->cancel_wait();
                 if (self->connection_)
                 {
                     self->connection_->close();
@@ -228,6 +234,7 @@
         return;
     }
     stopping_ = true;
+    cancel_wait();
     if (connection_)
     {
         connection_->close();
@@ -368,6 +375,8 @@
         last_endpoint_ = endpoint.id;
         record_conditions(*chosen);
         state_.endpoints.begin_request(endpoint.id);
+        const open_work_count counted(state_.overload.service(service_), relative_work_,
+                                      state_.time);
         const endpoint_outcome outcome = co_await attempt(endpoint);
         const millis cold_period = profile_ != nullptr ? profile_->cold_period : millis{0};
         if (caller_left_)
@@ -444,7 +453,7 @@
     if (step == next_step::refuse && history_.possible_executions == 0)
     {
         const bool unreachable = outcome == endpoint_outcome::unreachable;
-        millis retry_after = retry_after_overload;
+        millis retry_after = refusal_delay(retry_after_overload);
         if (first_return_)
         {
             // Later than that the caller would have too little time left for another try.
--- a/endivestage/serving/router_state.hpp
+++ b/endivestage/serving/router_state.hpp
@@ -5,6 +5,7 @@
 #include <endivestage/core.hpp>
 #include <endivestage/routing.hpp>
 #include <endivestage/serving/connection_pool.hpp>
+#include <endivestage/serving/overload_control.hpp>
 #include <endivestage/serving/router_metrics.hpp>
 #include <endivestage/serving/start_gate.hpp>
 #include <endivestage/serving/wire_codec.hpp>
@@ -111,6 +112,7 @@
     zone_id zone;         ///< Zone of this router.
     /// Open connections whose unknown load reports were logged.
     std::set<std::weak_ptr<daemon::http_connection>, std::owner_less<>> logged_load_reports;
+    overload_control overload;
     lifecycle_state lifecycle = lifecycle_state::starting;
     std::size_t open_requests = 0;
     /// Set once a stopping router has left all address responses or half of its time has passed: a
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -124,6 +124,7 @@
     state_.response_memory =
         buffer_budget(settings_.memory / router_state::response_memory_divisor);
     state_.start = start_gate(time_, to_hold_limits(settings_.memory));
+    state_.overload.set_config(settings_.overload);
     state_.random = seeded_random(
         hash64(settings_.name.view(), static_cast<std::uint64_t>(time_.wall_now().since_epoch)));
 }
@@ -320,6 +321,7 @@
     router_gauges gauges;
     gauges.open_requests = state_.open_requests;
     gauges.idle_connections = state_.pool.size();
+    gauges.waiting_requests = state_.overload.waiting();
     gauges.endpoints = state_.endpoints.size();
     gauges.routers = state_.routers.size();
     gauges.notices = state_.notices.size();
@@ -467,6 +469,8 @@
 {
     settings_.bounds = settings.bounds;
     state_.apply_bounds(settings.bounds);
+    settings_.overload = settings.overload;
+    state_.overload.set_config(settings.overload);
     if (replication_)
     {
         replication_->set_timing(replication_timing::for_change_delay(state_.max_change_delay()));
