Test that an endpoint that hangs does not fill its service

Cause: the limit on what one endpoint counts had no test of its own. Change: daemon_overload_test has the case. Before: none. Conclusion: the case is guarded.

--- a/tests/daemon_overload_test.cpp
+++ b/tests/daemon_overload_test.cpp
@@ -171,3 +171,36 @@
             CHECK(metrics.body.find("{decision=\"caller_left\"} 1") != std::string::npos);
         });
 }
+
+// Guards against one endpoint that hangs, whose open requests make the whole service seem full.
+TEST_CASE("requests that pile up at one endpoint do not fill the others")
+{
+    endpoint_directory directory;
+    for (const char* name : {"e1", "e2", "e3"})
+    {
+        endpoint_record record;
+        record.id = endpoint_id(name);
+        record.service = service_id("plain");
+        record.slots = 6;
+        directory.update(record, {0});
+    }
+    for (int n = 0; n < 60; ++n)
+    {
+        directory.begin_request(endpoint_id("e1"));
+    }
+    const endpoint_notices notices(1);
+    serving::overload_control control;
+    serving::service_overload& service = *control.service(service_id("plain"));
+    service.refresh(service_id("plain"), {directory, notices, millis{2000}, 1}, {10});
+    CHECK(service.admission().load().slots == 18.0);
+    CHECK_FALSE(service.admission().observe({10}));
+    for (const char* name : {"e2", "e3"})
+    {
+        for (int n = 0; n < 8; ++n)
+        {
+            directory.begin_request(endpoint_id(name));
+        }
+    }
+    service.refresh(service_id("plain"), {directory, notices, millis{2000}, 1}, {40});
+    CHECK(service.admission().observe({40}));
+}
