Shorten the replay test and mend two references in comments

Cause: the test documentation failed at two references that Doxygen cannot resolve; each order of the replay was a class of its own. Change: the comments name the functions in plain text; the alternatives are functions behind one class. Before: documentation failed. Conclusion: no change of behaviour.

--- a/endivestage/overload/service_admission.hpp
+++ b/endivestage/overload/service_admission.hpp
@@ -87,7 +87,7 @@
     /// such a request counts as a mean one.
     double measure_work(millis expected_completion);
 
-    /// \brief Decides about a new request. One that may go on is counted by \ref begin.
+    /// \brief Decides about a new request. One that may go on is counted by begin().
     admission_decision offer(const pending_request& request, time_point now);
 
     /// \brief Decides about a request whose wait is over, and removes it from the queue.
@@ -99,7 +99,7 @@
     /// \returns Numbers of waiting requests that go on now; they have left the queue.
     std::vector<std::uint64_t> release(time_point now);
 
-    /// \brief Counts a request that is sent to an endpoint; \ref end must follow.
+    /// \brief Counts a request that is sent to an endpoint; end() must follow.
     void begin(double work);
     void end(double work, time_point now);
 
--- a/tests/overload_replay_test.cpp
+++ b/tests/overload_replay_test.cpp
@@ -93,51 +93,38 @@
     return load;
 }
 
-class first_come final : public waiting_order
+/// An alternative to the order of the product.
+class order_by final : public waiting_order
 {
 public:
-    double rank(const pending_request& r, const order_context&) const override
-    {
-        return -static_cast<double>(r.received.since_epoch);
-    }
-};
-
-class strict_priority final : public waiting_order
-{
-public:
-    double rank(const pending_request& r, const order_context&) const override
-    {
-        return -1e9 * r.priority - static_cast<double>(r.received.since_epoch);
-    }
-};
+    using rank_function = double (*)(const pending_request&, const order_context&);
+    explicit order_by(rank_function ranked) : rank_(ranked) {}
 
-class earliest_deadline final : public waiting_order
-{
-public:
-    double rank(const pending_request& r, const order_context&) const override
-    {
-        return -static_cast<double>(r.deadline.since_epoch);
-    }
-};
-
-class least_slack final : public waiting_order
-{
-public:
     double rank(const pending_request& r, const order_context& c) const override
     {
-        return -static_cast<double>((r.deadline - c.now - r.expected_completion).count);
+        return rank_(r, c);
     }
+
+private:
+    rank_function rank_;
 };
 
-class shortest_with_ageing final : public waiting_order
-{
-public:
-    double rank(const pending_request& r, const order_context& c) const override
+const order_by first_come([](const pending_request& r, const order_context&)
+                          { return -static_cast<double>(r.received.since_epoch); });
+const order_by
+    strict_priority([](const pending_request& r, const order_context&)
+                    { return -1e9 * r.priority - static_cast<double>(r.received.since_epoch); });
+const order_by earliest_deadline([](const pending_request& r, const order_context&)
+                                 { return -static_cast<double>(r.deadline.since_epoch); });
+const order_by least_slack(
+    [](const pending_request& r, const order_context& c)
+    { return -static_cast<double>((r.deadline - c.now - r.expected_completion).count); });
+const order_by shortest_with_ageing(
+    [](const pending_request& r, const order_context& c)
     {
         const double age = static_cast<double>((c.now - r.received).count);
         return (1.0 + age / 1000.0) / (r.work * (1.0 + r.priority));
-    }
-};
+    });
 
 struct share
 {
@@ -295,11 +282,11 @@
 {
     const replay_result product = replay(delay_cost_order{}, true, exact);
     const std::map<std::string, replay_result> others{
-        {"first_come", replay(first_come{}, false, exact)},
-        {"strict_priority", replay(strict_priority{}, false, exact)},
-        {"earliest_deadline", replay(earliest_deadline{}, false, exact)},
-        {"least_slack", replay(least_slack{}, false, exact)},
-        {"shortest_ageing", replay(shortest_with_ageing{}, false, exact)}};
+        {"first_come", replay(first_come, false, exact)},
+        {"strict_priority", replay(strict_priority, false, exact)},
+        {"earliest_deadline", replay(earliest_deadline, false, exact)},
+        {"least_slack", replay(least_slack, false, exact)},
+        {"shortest_ageing", replay(shortest_with_ageing, false, exact)}};
     print("delay_cost", product);
     for (const auto& [name, other] : others)
     {
@@ -321,7 +308,7 @@
         const replay_result product = replay(delay_cost_order{}, true, v);
         print("wrong estimates", product);
         check_floors(product);
-        CHECK(product.loss <= 1.1 * replay(first_come{}, false, v).loss);
+        CHECK(product.loss <= 1.1 * replay(first_come, false, v).loss);
     }
 }
 
@@ -330,7 +317,7 @@
 {
     const variant greedy{1.0, false, true};
     const replay_result product = replay(delay_cost_order{}, true, greedy);
-    const replay_result reference = replay(first_come{}, false, greedy);
+    const replay_result reference = replay(first_come, false, greedy);
     print("greedy team", product);
     print("greedy first_come", reference);
     check_floors(product);
