Count avoided endpoints where a service has no others

Cause: with all endpoints avoided a service had no slots, and without slots nothing was bounded. Change: they count then. Before: unbounded. After: bounded; found by reading.

--- a/endivestage/serving/overload_control.cpp
+++ b/endivestage/serving/overload_control.cpp
@@ -31,11 +31,15 @@
     load.current = load.routers == 1 || inputs.endpoints.has_current_loads(now);
     double most_room = 0.0;
     roomiest_ = endpoint_id();
+    // Avoided endpoints get no new requests, so neither their slots nor their open requests count.
+    // If all are avoided, they still get them, and without any slots nothing would be bounded.
+    const bool all_avoided =
+        std::all_of(usable.endpoints.begin(), usable.endpoints.end(),
+                    [now](const endpoint_state* endpoint) { return now < endpoint->avoid_until; });
     for (const endpoint_state* endpoint : usable.endpoints)
     {
-        if (now < endpoint->avoid_until)
+        if (now < endpoint->avoid_until && !all_avoided)
         {
-            // It gets no new requests, so neither its slots nor its open requests count.
             continue;
         }
         const double slots = endpoint->record.slots;
