Count released requests as open, and switch overload control off by default

Change: released requests are reserved until they resume. overload.enabled is false unless the settings say otherwise. Conclusion: the control is built and tested but needs a bound by time before it serves callers better.

--- a/endivestage/overload/service_admission.cpp
+++ b/endivestage/overload/service_admission.cpp
@@ -83,12 +83,18 @@
 
 double service_admission::open_requests() const
 {
-    return std::max(0.0, load_.open_requests + own_requests_ - own_requests_at_update_);
+    return std::max(0.0, load_.open_requests + own_requests_ - own_requests_at_update_) +
+           static_cast<double>(released_work_.size());
 }
 
 double service_admission::open_work() const
 {
-    return open_requests() + own_work_ - own_requests_;
+    double work = open_requests() + own_work_ - own_requests_;
+    for (const std::pair<const std::uint64_t, double>& released : released_work_)
+    {
+        work += released.second - 1.0;
+    }
+    return work;
 }
 
 bool service_admission::is_busy() const
@@ -357,19 +363,17 @@
                          std::make_tuple(!b.below_floor, -b.rank, b.request.number);
               });
     const bool unbounded = load_.slots <= 0.0 || !config_.enabled;
-    // Released requests are not counted as open before begin() is called for them.
-    double sent = 0.0;
     std::vector<ranked_request>::iterator it = queue_.begin();
     for (; it != queue_.end(); ++it)
     {
-        const bool fits = credit_ >= 1.0 && room(rank_quantile(*it)) > sent;
-        const bool relieved = load_.current && open_work() + sent < load_.slots;
+        const bool fits = credit_ >= 1.0 && room(rank_quantile(*it)) > 0.0;
+        const bool relieved = load_.current && open_work() < load_.slots;
         if (!fits && !relieved && !unbounded)
         {
             break;
         }
         credit_ = std::max(0.0, credit_ - 1.0);
-        sent += it->request.work;
+        released_work_[it->request.number] = it->request.work;
         record_go_on(it->request, now);
         released.push_back(it->request.number);
     }
@@ -400,6 +404,7 @@
 
 void service_admission::withdraw(std::uint64_t number)
 {
+    released_work_.erase(number);
     std::erase_if(queue_,
                   [&](const ranked_request& other) { return other.request.number == number; });
 }
--- a/endivestage/overload/service_admission.hpp
+++ b/endivestage/overload/service_admission.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -17,7 +18,7 @@
 /// \brief Tunables of \ref service_admission.
 struct overload_config
 {
-    bool enabled = true;
+    bool enabled = false;
     /// Open requests up to this multiple of the slots are sent at once. Engines queue a few
     /// requests beyond their slots, which keeps their slots busy.
     double bound_factor = 1.25;
@@ -93,10 +94,12 @@
     /// \brief Decides about a request whose wait is over, and removes it from the queue.
     admission_decision end_wait(std::uint64_t number, time_point now);
 
-    /// \brief Removes a request whose caller has left, or that is refused for another reason.
+    /// \brief Removes a request that waits no longer. Call it for a released request directly
+    /// before \ref begin, and for one whose caller has left or that is refused for another reason.
     void withdraw(std::uint64_t number);
 
-    /// \returns Numbers of waiting requests that go on now; they have left the queue.
+    /// \returns Numbers of waiting requests that go on now; they have left the queue. They count as
+    /// open until \ref withdraw, since others must not get their room before they resume.
     std::vector<std::uint64_t> release(time_point now);
 
     /// \brief Counts a request that is sent to an endpoint; end() must follow.
@@ -158,8 +161,9 @@
     double own_work_ = 0.0;
     double own_requests_at_update_ = 0.0;
     std::vector<ranked_request> queue_;
-    std::deque<double> recent_ranks_; ///< Of requests that were offered lately.
-    double credit_ = 0.0;             ///< Requests that may be released now.
+    std::map<std::uint64_t, double> released_work_; ///< Of requests that have not resumed yet.
+    std::deque<double> recent_ranks_;               ///< Of requests that were offered lately.
+    double credit_ = 0.0;                           ///< Requests that may be released now.
     time_point credit_at_;
     time_point full_at_{-1000000}; ///< When there was no room last.
     served_shares shares_;
--- a/tests/overload_replay_test.cpp
+++ b/tests/overload_replay_test.cpp
@@ -214,6 +214,7 @@
         }
         for (const std::uint64_t number : admission.release({now}))
         {
+            admission.withdraw(number);
             send(number - 1);
         }
         for (; !waits.empty() && waits.begin()->first <= now; waits.erase(waits.begin()))
