Notice the failure of many routers within seconds

Change: a failed probe starts three extra probes, and so does each extra probe that is not answered in time, up to 96. They raise no suspicion while nothing at all arrives, as behind a cut link. A suspect is probed once more before it is declared dead. The fixture of membership_test takes a configuration. A sole survivor of a large fleet still needs a round over all peers.

--- a/endivestage/membership/failure_detector.cpp
+++ b/endivestage/membership/failure_detector.cpp
@@ -80,8 +80,11 @@
     void expire_suspicions(time_point now, membership_actions& actions);
     void remove_expired(time_point now);
     void advance_probe(time_point now, membership_actions& actions);
-    void probe_indirectly(membership_actions& actions);
-    void suspect_probe_target(time_point now, membership_actions& actions);
+    void probe_indirectly(probe& unanswered, membership_actions& actions);
+    void suspect_probe_target(const probe& unanswered, time_point now, membership_actions& actions);
+    void start_extra_probes(time_point now, membership_actions& actions);
+    void advance_extra_probes(time_point now, membership_actions& actions);
+    bool is_probed(const router_id& id) const;
     void start_next_probe(time_point now, membership_actions& actions);
     void probe_absent_peers(time_point now, membership_actions& actions);
     std::optional<router_id> next_target();
@@ -108,6 +111,9 @@
 
     std::optional<time_point> last_tick;
     std::optional<probe> current_probe;
+    std::vector<probe> extra_probes;
+    time_point extra_probes_since;      ///< Start of the present series of extra probes.
+    time_point last_received{-1};       ///< When any packet arrived last.
     std::vector<router_id> probe_round; ///< Peers not yet probed in this round.
     std::uint64_t sequence = 0;
     std::uint64_t interval_count = 0;
@@ -186,6 +192,7 @@
     if (!is_same_run || previous != update.state)
     {
         it.state_since = now;
+        it.warned = false;
     }
     const bool died = update.state == member_state::dead && previous != member_state::dead;
     if (was_present && !was_leaving && (died || !is_same_run))
@@ -225,6 +232,14 @@
         current_probe->answered = true;
         return;
     }
+    for (probe& extra : extra_probes)
+    {
+        if (extra.sequence == content.sequence && extra.target == content.target)
+        {
+            extra.answered = true;
+            return;
+        }
+    }
     const auto it = relayed_probes.find(content.sequence);
     if (it != relayed_probes.end() && now <= it->second.expires)
     {
@@ -247,6 +262,10 @@
     {
         current_probe->started = current_probe->started + gap;
     }
+    for (probe& extra : extra_probes)
+    {
+        extra.started = extra.started + gap;
+    }
     for (auto& [id, it] : peers)
     {
         it.state_since =
@@ -265,6 +284,13 @@
             dead.state = member_state::dead;
             replace_record(it, dead, now, actions);
         }
+        else if (it.record.state == member_state::suspect && !it.warned &&
+                 now - it.state_since >= limit * 3 / 4)
+        {
+            // A suspect that nobody has happened to probe does not know that it must refute.
+            it.warned = true;
+            send(packet::kind::ping, ++sequence, it.record.who, id, actions);
+        }
     }
 }
 
@@ -290,25 +316,82 @@
     if (current_probe && !current_probe->answered && !current_probe->indirect &&
         now - current_probe->started >= config.probe_timeout)
     {
-        probe_indirectly(actions);
+        probe_indirectly(*current_probe, actions);
     }
+    advance_extra_probes(now, actions);
     if (!current_probe || now - current_probe->started >= config.probe_interval)
     {
         if (current_probe && !current_probe->answered)
         {
-            suspect_probe_target(now, actions);
+            suspect_probe_target(*current_probe, now, actions);
+            start_extra_probes(now, actions);
         }
         start_next_probe(now, actions);
     }
 }
 
-void failure_detector::impl::probe_indirectly(membership_actions& actions)
+bool failure_detector::impl::is_probed(const router_id& id) const
+{
+    return (current_probe && current_probe->target == id) ||
+           std::any_of(extra_probes.begin(), extra_probes.end(),
+                       [&](const probe& extra) { return extra.target == id; });
+}
+
+// Suspected peers need no further probe.
+void failure_detector::impl::start_extra_probes(time_point now, membership_actions& actions)
+{
+    std::vector<router_id> targets;
+    for (const auto& [id, it] : peers)
+    {
+        if (it.observed && it.record.state == member_state::alive && !is_probed(id))
+        {
+            targets.push_back(id);
+        }
+    }
+    shuffle(targets);
+    const std::size_t room = config.max_extra_probes - extra_probes.size();
+    targets.resize(std::min({targets.size(), config.extra_probes, room}));
+    extra_probes_since = extra_probes.empty() ? now : extra_probes_since;
+    for (const router_id& id : targets)
+    {
+        extra_probes.push_back({id, ++sequence, now});
+        send(packet::kind::ping, sequence, peers[id].record.who, id, actions);
+    }
+}
+
+// Without any packet since the extra probes began, this router's own link may be cut. Peers that
+// were probed then are not suspected, since they would all have to be found again afterwards.
+void failure_detector::impl::advance_extra_probes(time_point now, membership_actions& actions)
+{
+    std::size_t unanswered_count = 0;
+    for (probe& extra : extra_probes)
+    {
+        if (!extra.answered && !extra.indirect && now - extra.started >= config.probe_timeout)
+        {
+            ++unanswered_count;
+            probe_indirectly(extra, actions);
+        }
+        else if (!extra.answered && now - extra.started >= config.probe_interval &&
+                 last_received >= extra_probes_since)
+        {
+            suspect_probe_target(extra, now, actions);
+        }
+    }
+    std::erase_if(extra_probes, [&](const probe& extra)
+                  { return extra.answered || now - extra.started >= config.probe_interval; });
+    for (std::size_t n = 0; n < unanswered_count; ++n)
+    {
+        start_extra_probes(now, actions);
+    }
+}
+
+void failure_detector::impl::probe_indirectly(probe& unanswered, membership_actions& actions)
 {
-    current_probe->indirect = true;
+    unanswered.indirect = true;
     std::vector<router_id> helpers;
     for (const auto& [id, it] : peers)
     {
-        if (it.present() && it.record.state == member_state::alive && id != current_probe->target)
+        if (it.present() && it.record.state == member_state::alive && id != unanswered.target)
         {
             helpers.push_back(id);
         }
@@ -317,14 +400,15 @@
     helpers.resize(std::min(helpers.size(), config.indirect_probes));
     for (const router_id& id : helpers)
     {
-        send(packet::kind::ping_request, current_probe->sequence, peers[id].record.who,
-             current_probe->target, actions);
+        send(packet::kind::ping_request, unanswered.sequence, peers[id].record.who,
+             unanswered.target, actions);
     }
 }
 
-void failure_detector::impl::suspect_probe_target(time_point now, membership_actions& actions)
+void failure_detector::impl::suspect_probe_target(const probe& unanswered, time_point now,
+                                                  membership_actions& actions)
 {
-    const auto it = peers.find(current_probe->target);
+    const auto it = peers.find(unanswered.target);
     if (it != peers.end() && it->second.observed && it->second.record.state == member_state::alive)
     {
         member_update suspect = it->second.record;
@@ -524,6 +608,7 @@
     {
         return actions;
     }
+    impl_->last_received = now;
     // The packet shows that the sender is alive. This does not end a suspicion, which the sender
     // must refute.
     impl_->apply_update({content.from, member_state::alive, 0}, now, actions);
--- a/endivestage/membership/failure_detector.hpp
+++ b/endivestage/membership/failure_detector.hpp
@@ -20,9 +20,14 @@
 /// \brief Settings of the failure detector; equal on all routers of a region.
 struct swim_config
 {
-    millis probe_interval{1000};        ///< One peer is probed per interval.
-    millis probe_timeout{300};          ///< Wait for a direct ack before probing indirectly.
-    std::size_t indirect_probes = 3;    ///< Members asked to probe an unresponsive peer.
+    millis probe_interval{1000};     ///< One peer is probed per interval.
+    millis probe_timeout{300};       ///< Wait for a direct ack before probing indirectly.
+    std::size_t indirect_probes = 3; ///< Members asked to probe an unresponsive peer.
+    /// Further peers probed at once when a peer becomes suspect, and again for each of these probes
+    /// that is not answered within the timeout. When many routers fail together, the few that are
+    /// left would otherwise need an interval for each of them.
+    std::size_t extra_probes = 3;
+    std::size_t max_extra_probes = 96;  ///< Open at the same time; about a packet each.
     double suspicion_intervals = 3.0;   ///< A suspicion lasts log2(n) plus this many intervals.
     double gossip_factor = 3.0;         ///< Each item is sent about this times log2(n) times.
     std::size_t max_gossip_updates = 6; ///< Per packet.
--- a/endivestage/membership/internal/peer.hpp
+++ b/endivestage/membership/internal/peer.hpp
@@ -19,6 +19,7 @@
     bool listed = false;         ///< In the host list.
     bool listed_leaving = false; ///< Marked as leaving in the host list.
     time_point state_since;      ///< Start of the present state.
+    bool warned = false;         ///< Was probed late in the present suspicion.
     std::size_t failures = 0;
     time_point last_failure;
     std::optional<time_point> hold_down_until;
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -29,12 +29,14 @@
 class detector_network
 {
 public:
-    explicit detector_network(std::size_t count) : random_(count)
+    explicit detector_network(std::size_t count, swim_config config = {})
+        : config_(config),
+          random_(count)
     {
         for (std::size_t n = 0; n < count; ++n)
         {
             hosts.push_back({make_member(n, 0)});
-            nodes_.emplace(make_member(n).id, failure_detector({}, make_member(n), random_));
+            nodes_.emplace(make_member(n).id, failure_detector(config_, make_member(n), random_));
         }
         apply_host_list();
     }
@@ -64,7 +66,7 @@
     {
         kill(n);
         nodes_.emplace(make_member(n).id,
-                       failure_detector({}, make_member(n, incarnation), random_));
+                       failure_detector(config_, make_member(n, incarnation), random_));
         apply_host_list();
     }
 
@@ -100,10 +102,22 @@
         }
     }
 
+    swim_config config_;
     seeded_random random_;
     std::map<router_id, failure_detector> nodes_;
 };
 
+/// The configuration of serving/peer_service.cpp.
+swim_config router_config()
+{
+    swim_config config;
+    config.probe_interval = millis{400};
+    config.probe_timeout = millis{150};
+    config.suspicion_intervals = 1.0;
+    config.initial_hold_down = millis{0};
+    return config;
+}
+
 } // namespace
 
 // Guards against an undetected failure, and against live routers that are declared dead, while a
@@ -131,6 +145,42 @@
     REQUIRE(network.dead_count == 11);
 }
 
+// Load: nine in ten routers of a fleet are killed at once. Guards against survivors that need a
+// probe interval for each of them: the directory has 6 s to omit dead routers.
+TEST_CASE("survivors of a mass failure detect all dead routers within six seconds")
+{
+    for (const std::size_t count : {10UL, 30UL, 100UL})
+    {
+        detector_network network(count, router_config());
+        network.run(10000);
+        REQUIRE(network.live_count(0) == count);
+        const std::size_t survivors = count / 10 + 1;
+        for (std::size_t n = survivors; n < count; ++n)
+        {
+            network.kill(n);
+        }
+        network.run(6000);
+        for (std::size_t n = 0; n < survivors; ++n)
+        {
+            REQUIRE(network.live_count(n) == survivors);
+        }
+    }
+}
+
+// Guards against a router that takes all others for dead because its own link was cut.
+TEST_CASE("a router whose own link is cut for a while suspects few others")
+{
+    detector_network network(30, router_config());
+    network.run(10000);
+    network.is_dropped = [](const router_id& from, const router_id& to)
+    {
+        return from == router_id("r3") || to == router_id("r3");
+    };
+    network.run(4000);
+    // One in each probe interval, less those under suspicion.
+    REQUIRE(network.live_count(3) >= 20);
+}
+
 // Guards against a router that is declared dead after a short loss of its connectivity: it must
 // refute the suspicion once packets reach it again.
 TEST_CASE("a suspect that is reachable again refutes the suspicion")
