--- a/endivestage/routing/start_hold.cpp
+++ b/endivestage/routing/start_hold.cpp
@@ -82,6 +82,7 @@
 {
     constexpr time_point never{std::numeric_limits<std::int64_t>::max()};
     std::vector<std::tuple<std::uint32_t, time_point, request_number>> order;
+    order.reserve(held_.size());
     for (const std::pair<const request_number, held_request>& entry : held_)
     {
         order.emplace_back(priority(entry.first), entry.second.deadline.value_or(never),
@@ -89,6 +90,7 @@
     }
     std::sort(order.begin(), order.end());
     std::vector<request_number> released;
+    released.reserve(order.size());
     for (const std::tuple<std::uint32_t, time_point, request_number>& next : order)
     {
         released.push_back(std::get<request_number>(next));
