Wait for first events by what they take at present

Cause: an endpoint that hangs held a request for the whole objective of its route, up to 3 s, although first events take a fraction of that.

Requests that cannot be sent again wait as before: no other endpoint, no repeat left in the budget, or the last attempt. repeat_budget::has_room tells that without using a repeat. request_placed shows wait_ms; vain waits are counted.

Before: first_response_timeout returned 3,000 ms for an objective of 3,000 ms.

Conclusion: the effect on callers is not measured yet.

--- a/endivestage/routing.hpp
+++ b/endivestage/routing.hpp
@@ -17,6 +17,7 @@
 ///  - buffer_budget (routing/buffer_budget.hpp): memory for answers that are being read
 ///  - time_estimator (routing/time_estimate.hpp): when an endpoint would answer a request
 ///  - observed_times (routing/observed_times.hpp): the time_estimator that learns from answers
+///  - first_event_waits (routing/first_event_waits.hpp): when a first event is late
 ///  - remote_clock, freshness_lease (routing/freshness_lease.hpp): how long table copies are valid
 #pragma once
 
@@ -25,6 +26,7 @@
 #include <endivestage/routing/endpoint_choice.hpp>
 #include <endivestage/routing/endpoint_directory.hpp>
 #include <endivestage/routing/endpoint_notices.hpp>
+#include <endivestage/routing/first_event_waits.hpp>
 #include <endivestage/routing/freshness_lease.hpp>
 #include <endivestage/routing/load_aggregator.hpp>
 #include <endivestage/routing/observed_times.hpp>
--- a/endivestage/routing/attempt_policy.cpp
+++ b/endivestage/routing/attempt_policy.cpp
@@ -15,6 +15,10 @@
 constexpr std::uint32_t max_sends = 4;
 /// No endpoint can answer within less time.
 constexpr millis min_attempt_time{25};
+/// A shorter wait would take a delay of a router's event loop for a failure of the endpoint; hosts
+/// with an eighth of a core pause for tens of milliseconds.
+constexpr millis min_first_response_timeout{50};
+constexpr std::int64_t min_timeout_divisor = 4; ///< Of the latency objective.
 
 } // namespace
 
@@ -91,4 +95,14 @@
     return std::min(time.remaining, max_wait);
 }
 
+millis first_response_timeout(const route& matched, const attempt_history& history,
+                              time_budget time, millis expected)
+{
+    const millis longest = first_response_timeout(matched, history, time);
+    const bool last = longest == time.remaining;
+    const millis shortest =
+        std::max(min_first_response_timeout, time.latency_objective / min_timeout_divisor);
+    return last ? longest : std::min(longest, std::max(shortest, expected));
+}
+
 } // namespace endivestage
--- a/endivestage/routing/attempt_policy.hpp
+++ b/endivestage/routing/attempt_policy.hpp
@@ -52,4 +52,11 @@
 millis first_response_timeout(const route& matched, const attempt_history& history,
                               time_budget time);
 
+/// \brief The same from what first events take at present. Never longer than the wait above, and
+/// never shorter than a quarter of the latency objective, so that callers whose objective is far
+/// longer than usual answers lose no slow but healthy endpoint.
+/// \param expected Time after which a first event is late (first_event_waits).
+millis first_response_timeout(const route& matched, const attempt_history& history,
+                              time_budget time, millis expected);
+
 } // namespace endivestage
--- a/endivestage/routing/send_limits.cpp
+++ b/endivestage/routing/send_limits.cpp
@@ -55,7 +55,7 @@
     first_sends_.add(now);
 }
 
-bool repeat_budget::try_acquire(time_point now, std::size_t routers)
+bool repeat_budget::has_room(time_point now, std::size_t routers)
 {
     assert(routers > 0);
     double allowed = limit_.ratio * static_cast<double>(first_sends_.total(now));
@@ -63,12 +63,17 @@
     {
         allowed += static_cast<double>(limit_.allowance) / static_cast<double>(routers);
     }
-    if (static_cast<double>(repeats_.total(now) + 1) > allowed * usable_part)
+    return static_cast<double>(repeats_.total(now) + 1) <= allowed * usable_part;
+}
+
+bool repeat_budget::try_acquire(time_point now, std::size_t routers)
+{
+    const bool acquired = has_room(now, routers);
+    if (acquired)
     {
-        return false;
+        repeats_.add(now);
     }
-    repeats_.add(now);
-    return true;
+    return acquired;
 }
 
 std::uint32_t cold_send_share::requests_per_s(const endpoint_id& endpoint,
--- a/endivestage/routing/send_limits.hpp
+++ b/endivestage/routing/send_limits.hpp
@@ -63,6 +63,9 @@
     /// \brief Counts the first send of a request.
     void record_first_send(time_point now);
 
+    /// \returns Whether the budget has a repeat left.
+    bool has_room(time_point now, std::size_t routers);
+
     /// \brief Acquires one repeat from the budget.
     /// \param routers Number of routers that may be running, at least 1.
     /// \returns Whether the budget had one left.
--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -201,7 +201,10 @@
     {
         rendezvous_pair_ = find_rendezvous_pair(available, *decoded_.chat_hash);
     }
-    for (const endpoint_state* endpoint : rank_endpoints(state_.endpoints, input, state_.choice))
+    const std::vector<const endpoint_state*> ranked =
+        rank_endpoints(state_.endpoints, input, state_.choice);
+    has_alternative_ = ranked.size() > 1;
+    for (const endpoint_state* endpoint : ranked)
     {
         if (!endpoint->is_cold(now) || profile_ == nullptr ||
             profile_->cold_requests_per_s <= 0.0 ||
--- a/endivestage/serving/exchange.hpp
+++ b/endivestage/serving/exchange.hpp
@@ -64,11 +64,14 @@
     request_work work() const;
     void record_conditions(const endpoint_state& endpoint);
     void record_first_event_time();
+    /// \returns How long the present attempt waits for a first event.
+    millis first_event_wait(time_budget time);
+    void record_missing_first_event(millis waited);
     void record_completion_time();
     void record_unknown_load(std::size_t figures);
     void record_endpoint_state(const endpoint_record& endpoint, const response_info& info);
     void record_notices(const endpoint_record& endpoint, const response_info& info);
-    void log_placement(const forwarding_info& info) const;
+    void log_placement(const forwarding_info& info, millis max_wait) const;
     void log_too_large() const;
     void release_connection(const endpoint_record& endpoint);
     void record_end(std::string_view result, int status) const;
@@ -100,6 +103,8 @@
     time_point first_event_at_;          ///< First event or head of the present attempt.
     /// Estimate for the present attempt; unknown with too few observations.
     time_estimate sent_estimate_;
+    bool first_event_seen_ = false; ///< In the present attempt.
+    bool has_alternative_ = false;  ///< Another endpoint could be tried after the present one.
     std::vector<endpoint_id> tried_;
     rendezvous_pair rendezvous_pair_;
     /// Time until an endpoint returns, if all endpoints want no requests for a while.
--- a/endivestage/serving/exchange_attempt.cpp
+++ b/endivestage/serving/exchange_attempt.cpp
@@ -28,6 +28,8 @@
 /// may have been dropped unnoticed.
 constexpr millis max_idle_time_at_most_once{1500};
 constexpr millis max_idle_time{60000};
+/// A first event that takes longer than this multiple of its estimate is late.
+constexpr std::int64_t late_estimate_factor = 3;
 /// Responses to other requests that are skipped on one connection.
 constexpr int max_mismatched_responses = 3;
 
@@ -120,13 +122,18 @@
     info.last_event_id = framer_.last_event_id() ? framer_.last_event_id() : decoded_.last_event_id;
     info.copy_from = find_copy_source(endpoint.id);
     sent_at_ = state_.time.now();
-    log_placement(info);
-    const millis max_wait = first_response_timeout(*route_, history_, time);
+    first_event_seen_ = false;
+    const millis max_wait = first_event_wait(time);
+    log_placement(info, max_wait);
     ++history_.sends;
     response_share_.release();
     beyond_first_event_ = false;
     connection_->send(state_.codec.encode_request(request_, info));
     const endpoint_outcome outcome = co_await read_response(endpoint, max_wait);
+    if (outcome == endpoint_outcome::broken)
+    {
+        record_missing_first_event(max_wait);
+    }
     if (outcome != endpoint_outcome::shed && outcome != endpoint_outcome::misdirected)
     {
         ++history_.possible_executions;
@@ -156,7 +163,7 @@
                           boost::asio::detached);
 }
 
-void exchange::log_placement(const forwarding_info& info) const
+void exchange::log_placement(const forwarding_info& info, millis max_wait) const
 {
     const endpoint_state* endpoint = state_.endpoints.find(info.endpoint);
     const time_point now = state_.time.now();
@@ -176,6 +183,7 @@
          {"send", history_.sends + 1},
          {"config", routes_->version()},
          {"copy_age_ms", state_.operations_lease.age(now).value_or(millis{-1})},
+         {"wait_ms", max_wait},
          {"left_ms", info.time_left}});
 }
 
@@ -234,6 +242,7 @@
 void exchange::record_first_event_time()
 {
     first_event_at_ = state_.time.now();
+    first_event_seen_ = true;
     const endpoint_state* endpoint = state_.endpoints.find(last_endpoint_);
     // A resumed stream needs less work than the conditions say.
     if (endpoint == nullptr || history_.response_started || decoded_.last_event_id)
@@ -241,6 +250,8 @@
         return;
     }
     const millis took = first_event_at_ - sent_at_;
+    state_.first_events.record_first_event(sent_conditions_.model, endpoint->hash, took,
+                                           first_event_at_);
     state_.times.record_first_event(sent_conditions_, state_.times.pace(*endpoint, first_event_at_),
                                     took);
     if (sent_estimate_.known)
@@ -249,6 +260,40 @@
     }
 }
 
+millis exchange::first_event_wait(time_budget time)
+{
+    const millis longest = first_response_timeout(*route_, history_, time);
+    const time_point now = state_.time.now();
+    const endpoint_state* endpoint = state_.endpoints.find(last_endpoint_);
+    // Giving up early helps only if the request can be sent elsewhere. Cold engines take many times
+    // as long as warm ones.
+    if (!has_alternative_ || endpoint == nullptr || endpoint->is_cold(now) ||
+        !state_.repeat_budget_for(service_).has_room(now, state_.routers.size()))
+    {
+        return longest;
+    }
+    const std::optional<millis> expected =
+        state_.first_events.wait(sent_conditions_.model, endpoint->hash, now);
+    if (!expected)
+    {
+        return longest;
+    }
+    // A long prompt or a queue may take longer than what was observed.
+    const millis estimated = sent_estimate_.first_event * late_estimate_factor;
+    return first_response_timeout(*route_, history_, time, std::max(*expected, estimated));
+}
+
+void exchange::record_missing_first_event(millis waited)
+{
+    const time_point now = state_.time.now();
+    if (!first_event_seen_ && !caller_left_ && !stopping_ && now - sent_at_ >= waited)
+    {
+        state_.first_events.record_timeout(sent_conditions_.model, hash64(last_endpoint_.view()),
+                                           waited, now);
+        state_.metrics.record_first_event_timeout();
+    }
+}
+
 void exchange::record_completion_time()
 {
     const time_point now = state_.time.now();
--- a/endivestage/serving/router_metrics.cpp
+++ b/endivestage/serving/router_metrics.cpp
@@ -58,6 +58,14 @@
         .add();
 }
 
+void router_metrics::record_first_event_timeout()
+{
+    registry_
+        .get_counter("endivestage_first_event_timeouts_total",
+                     "Attempts that were given up without a first event.")
+        .add();
+}
+
 void router_metrics::record_estimate(millis estimated, millis took)
 {
     const bool late = took > estimated;
--- a/endivestage/serving/router_metrics.hpp
+++ b/endivestage/serving/router_metrics.hpp
@@ -47,6 +47,8 @@
     void record_first_event(millis latency);
     /// \brief Counts a load report with an unknown number of figures.
     void record_unknown_load_report();
+    /// \brief Counts an attempt that was given up without a first event.
+    void record_first_event_timeout();
     /// \param estimated,took Time from sending a request to its first event.
     void record_estimate(millis estimated, millis took);
     void record_connection(bool success);
--- a/endivestage/serving/router_state.hpp
+++ b/endivestage/serving/router_state.hpp
@@ -102,7 +102,8 @@
     endpoint_choice_config choice;
     endpoint_notices notices;
     observed_times times; ///< Estimates when endpoints would answer.
-    zone_id zone;         ///< Zone of this router.
+    first_event_waits first_events;
+    zone_id zone; ///< Zone of this router.
     /// Open connections whose unknown load reports were logged.
     std::set<std::weak_ptr<daemon::http_connection>, std::owner_less<>> logged_load_reports;
     lifecycle_state lifecycle = lifecycle_state::starting;
