Build the test of first event waits with clang

Change: the member has an explicit initializer. The test checks the same. Before: scripts/tidy-file tests/first_event_waits_test.cpp failed. After: it passes. Conclusion: none beyond the test.

--- a/tests/first_event_waits_test.cpp
+++ b/tests/first_event_waits_test.cpp
@@ -31,7 +31,7 @@
     std::uint64_t endpoints = 3;
     millis slow{80};
     millis usual{60};
-    first_event_waits waits;
+    first_event_waits waits = first_event_waits();
     time_point now{100000};
     int given_up = 0;
     millis longest_in_vain{0};
