Share failing endpoints between routers

Cause: each router had to find out by its own lost requests that an endpoint hangs or crashed: up to three for each router of a fleet.

Change: a router reports endpoints at which it lost a connection or an answer in the last 2 s and was not served since. Followers name them in their polls, relays exchange the numbers of their followers in datagrams (sum_datagram), and a second load_aggregator sums them. An endpoint that at least three routers see fail is avoided by all. Each router counts once for an endpoint; one that sees more than a fifth of a service's endpoints fail reports none, and reports about more than a third of them are ignored, since a bad link is then the likely cause.

Before: failing_routers did not exist; an endpoint that three other routers report got requests.

Conclusion: releases without these members ignore them, so routers can be replaced one by one. The effect on callers is not measured.

--- a/endivestage/routing/endpoint_choice.cpp
+++ b/endivestage/routing/endpoint_choice.cpp
@@ -9,6 +9,10 @@
 namespace
 {
 
+/// Endpoints that fail by reports of other routers are avoided if they are at most one in this many
+/// of their service.
+constexpr std::size_t max_failing_divisor = 3;
+
 struct candidate
 {
     const endpoint_state* endpoint = nullptr;
@@ -158,6 +162,12 @@
     std::vector<candidate> candidates;
     candidates.reserve(input.endpoints.size());
     bool by_estimate = input.estimator != nullptr && reports_pace(input.endpoints);
+    // Failures at many endpoints at once come from links or overload; the rest could not take over.
+    const std::size_t failing = static_cast<std::size_t>(
+        std::count_if(input.endpoints.begin(), input.endpoints.end(),
+                      [&](const endpoint_state* endpoint)
+                      { return directory.fails_for_fleet(*endpoint, input.now); }));
+    const bool failures_count = failing * max_failing_divisor <= input.endpoints.size();
     double total = 0.0;
     for (const endpoint_state* endpoint : input.endpoints)
     {
@@ -169,6 +179,7 @@
         c.load = input.chat_hash || by_estimate ? directory.estimated_load(*endpoint, input.now)
                                                 : directory.observed_load(*endpoint, input.now);
         c.avoided = input.now < endpoint->avoid_until ||
+                    (failures_count && directory.fails_for_fleet(*endpoint, input.now)) ||
                     endpoint->failure_rate > median_rate + config.failure_margin;
         total += c.load;
         const double weight = std::max<std::uint32_t>(1, endpoint->record.slots);
--- a/endivestage/routing/endpoint_directory.cpp
+++ b/endivestage/routing/endpoint_directory.cpp
@@ -143,11 +143,13 @@
             state.cold_until = std::max(state.cold_until, now + cold_period);
         }
         state.consecutive_failures = 0;
+        state.lost_at = time_point{-1000000};
         state.avoid_until = time_point{};
     }
     if (lost)
     {
         ++state.consecutive_failures;
+        state.lost_at = now;
         const std::int64_t doublings = std::min<std::uint32_t>(state.consecutive_failures - 1, 6);
         const millis avoidance = std::min(
             config_.max_avoidance, config_.initial_avoidance * (std::int64_t{1} << doublings));
@@ -228,6 +230,80 @@
     }
 }
 
+std::vector<engine_requests> endpoint_directory::failing_endpoints(time_point now) const
+{
+    struct service_count
+    {
+        std::size_t endpoints = 0;
+        std::vector<engine_requests> failing;
+    };
+    std::vector<engine_requests> reported;
+    const auto is_failing = [&](const std::pair<const endpoint_id, endpoint_state>& entry)
+    {
+        return now - entry.second.lost_at <= config_.failure_ttl;
+    };
+    if (std::none_of(endpoints_.begin(), endpoints_.end(), is_failing))
+    {
+        return reported;
+    }
+    std::map<service_id, service_count> services;
+    for (auto it = endpoints_.begin(); it != endpoints_.end(); ++it)
+    {
+        service_count& service = services[it->second.record.service];
+        ++service.endpoints;
+        if (is_failing(*it))
+        {
+            service.failing.push_back({it->second.hash, 1});
+        }
+    }
+    for (auto it = services.begin(); it != services.end(); ++it)
+    {
+        const service_count& service = it->second;
+        const std::size_t max_failing =
+            std::max<std::size_t>(1, service.endpoints / config_.own_link_divisor);
+        if (service.failing.size() <= max_failing)
+        {
+            reported.insert(reported.end(), service.failing.begin(), service.failing.end());
+        }
+    }
+    return reported;
+}
+
+void endpoint_directory::apply_fleet_failures(const load_changes& changes, time_point now)
+{
+    fleet_failures_at_ = now;
+    if (changes.complete)
+    {
+        for (auto it = endpoints_.begin(); it != endpoints_.end(); ++it)
+        {
+            it->second.failing_routers = 0;
+        }
+    }
+    for (const engine_requests& sum : changes.loads)
+    {
+        const auto id = by_hash_.find(sum.engine);
+        const auto it = id == by_hash_.end() ? endpoints_.end() : endpoints_.find(id->second);
+        if (it != endpoints_.end())
+        {
+            it->second.failing_routers = sum.requests;
+        }
+    }
+}
+
+std::size_t endpoint_directory::fleet_failures(time_point now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(endpoints_.begin(), endpoints_.end(),
+                      [&](const std::pair<const endpoint_id, endpoint_state>& entry)
+                      { return fails_for_fleet(entry.second, now); }));
+}
+
+bool endpoint_directory::fails_for_fleet(const endpoint_state& endpoint, time_point now) const
+{
+    return endpoint.failing_routers >= config_.min_failing_routers &&
+           now - fleet_failures_at_ <= config_.fleet_loads_ttl;
+}
+
 void endpoint_directory::record_cold_report(const endpoint_id& id, millis left, time_point now)
 {
     const auto it = endpoints_.find(id);
--- a/endivestage/routing/endpoint_directory.hpp
+++ b/endivestage/routing/endpoint_directory.hpp
@@ -73,6 +73,9 @@
     time_point pace_at{-1000000};     ///< When \ref pace was reported.
     /// Open requests of all other routers, from the sums that a relay distributes.
     double other_routers_in_flight = 0.0;
+    /// This router's last unreachable or broken outcome; in the far past after a served one.
+    time_point lost_at{-1000000};
+    std::uint32_t failing_routers = 0; ///< Routers that see it fail, this one included.
     /// When the record was removed after an outage of the table; the endpoint is kept for the grace
     /// period.
     std::optional<time_point> removed_at;
@@ -98,6 +101,14 @@
     millis fresh_report_ttl{500};
     /// If the latest load sums from a relay are older, load reports are used alone.
     millis fleet_loads_ttl{1500};
+    /// A lost request counts as evidence for other routers for this long, or until a served one.
+    millis failure_ttl{2000};
+    /// So many routers must see an endpoint fail before the others avoid it; fewer may have a bad
+    /// link themselves.
+    std::uint32_t min_failing_routers = 3;
+    /// A router that sees more than one in this many endpoints of a service fail, and more than
+    /// one, reports none of them: its own link is the likely cause.
+    std::size_t own_link_divisor = 5;
 };
 
 /// \brief The endpoints of all services. Combines their records, the zones that operators took out
@@ -149,6 +160,19 @@
     /// \brief Applies the sums of the open requests of all routers, this one included.
     void apply_fleet_loads(const load_changes& changes, time_point now);
 
+    /// \returns Endpoints that fail by this router's own outcomes, with 1 each, to be reported to
+    /// its relay; none of a service of which so many fail that its own link is the likely cause.
+    std::vector<engine_requests> failing_endpoints(time_point now) const;
+
+    /// \brief Applies the numbers of routers that see an endpoint fail, this one included.
+    void apply_fleet_failures(const load_changes& changes, time_point now);
+
+    /// \returns Number of endpoints that enough routers see fail.
+    std::size_t fleet_failures(time_point now) const;
+
+    /// \returns Whether enough routers see the endpoint fail.
+    bool fails_for_fleet(const endpoint_state& endpoint, time_point now) const;
+
     /// \brief Records an endpoint's own report that it stays cold for \p left.
     void record_cold_report(const endpoint_id& id, millis left, time_point now);
 
@@ -177,6 +201,7 @@
     std::unordered_map<std::uint64_t, endpoint_id> by_hash_;
     std::set<zone_id> out_of_service_;
     time_point fleet_loads_at_{-1000000}; ///< When load sums arrived last, changed or not.
+    time_point fleet_failures_at_{-1000000};
 };
 
 } // namespace endivestage
--- a/endivestage/serving/exchange_attempt.cpp
+++ b/endivestage/serving/exchange_attempt.cpp
@@ -175,6 +175,7 @@
          {"load", endpoint != nullptr ? state_.endpoints.estimated_load(*endpoint, now) : 0.0},
          {"pace", endpoint != nullptr ? state_.times.pace(*endpoint, now) : 1.0},
          {"estimate_ms", sent_estimate_.known ? sent_estimate_.first_event : millis{-1}},
+         {"failing_routers", endpoint != nullptr ? endpoint->failing_routers : 0},
          {"cold", endpoint != nullptr && endpoint->is_cold(now)},
          {"history",
           decoded_.chat_hash &&
--- a/endivestage/serving/peer_service.cpp
+++ b/endivestage/serving/peer_service.cpp
@@ -54,14 +54,6 @@
     return sightings;
 }
 
-/// First byte of a datagram with loads. The hash of the sender's id follows, then the loads.
-constexpr char loads_tag = 'L';
-constexpr std::size_t loads_header_bytes = 9;
-constexpr std::size_t load_bytes = 10;
-/// A report replaces the previous one, so it must fit into one datagram. The 32 followers of a
-/// relay use fewer engines than this at a time; further loads are not sent.
-constexpr std::size_t max_loads_per_datagram = 1000;
-
 unsigned char* bytes_at(std::string& datagram, std::size_t position)
 {
     return reinterpret_cast<unsigned char*>(datagram.data()) + position;
@@ -72,23 +64,6 @@
     return reinterpret_cast<const unsigned char*>(datagram.data()) + position;
 }
 
-std::string encode_group_loads(std::uint64_t sender, std::span<const engine_requests> loads)
-{
-    std::string datagram(loads_header_bytes + loads.size() * load_bytes, loads_tag);
-    boost::endian::store_little_u64(bytes_at(datagram, 1), sender);
-    std::size_t position = loads_header_bytes;
-    for (const engine_requests& load : loads)
-    {
-        boost::endian::store_little_u64(bytes_at(datagram, position), load.engine);
-        const std::uint32_t max_requests = std::numeric_limits<std::uint16_t>::max();
-        boost::endian::store_little_u16(
-            bytes_at(datagram, position + 8),
-            static_cast<std::uint16_t>(std::min(load.requests, max_requests)));
-        position += load_bytes;
-    }
-    return datagram;
-}
-
 /// First byte of a datagram with reports about parts of prompts.
 constexpr char part_reports_tag = 'Q';
 constexpr std::size_t part_report_bytes = 21;
@@ -208,9 +183,12 @@
         handle_sightings(datagram);
         return;
     }
-    if (datagram.starts_with(loads_tag))
+    if (const std::optional<group_sums> sums = decode_sums(datagram))
     {
-        handle_loads(datagram);
+        if (sums_callback_)
+        {
+            sums_callback_(*sums);
+        }
         return;
     }
     if (datagram.starts_with(part_reports_tag))
@@ -347,31 +325,15 @@
     }
 }
 
-void peer_service::send_loads(const router_id& relay, std::span<const engine_requests> loads)
+void peer_service::send_sums(const router_id& relay, sum_kind kind,
+                             std::span<const engine_requests> sums)
 {
     const std::optional<member_update> view = detector_.find(relay);
     if (view)
     {
-        send_datagram(
-            view->who.host, view->who.udp_port,
-            encode_group_loads(hash64(detector_.self().id.view()),
-                               loads.first(std::min(loads.size(), max_loads_per_datagram))));
-    }
-}
-
-void peer_service::handle_loads(std::string_view datagram)
-{
-    if (datagram.size() < loads_header_bytes || !loads_callback_)
-    {
-        return;
-    }
-    std::vector<engine_requests> loads;
-    for (std::size_t n = loads_header_bytes; n + load_bytes <= datagram.size(); n += load_bytes)
-    {
-        loads.push_back({boost::endian::load_little_u64(bytes_at(datagram, n)),
-                         boost::endian::load_little_u16(bytes_at(datagram, n + 8))});
+        send_datagram(view->who.host, view->who.udp_port,
+                      encode_sums(kind, hash64(detector_.self().id.view()), sums));
     }
-    loads_callback_(boost::endian::load_little_u64(bytes_at(datagram, 1)), loads);
 }
 
 void peer_service::update(std::span<const replicated_row> rows)
--- a/endivestage/serving/peer_service.hpp
+++ b/endivestage/serving/peer_service.hpp
@@ -6,6 +6,7 @@
 #include <endivestage/membership.hpp>
 #include <endivestage/routing.hpp>
 #include <endivestage/serving/replication_service.hpp>
+#include <endivestage/serving/sum_datagram.hpp>
 
 #include <array>
 #include <boost/asio/io_context.hpp>
@@ -77,14 +78,13 @@
         part_report_callback_ = std::move(callback);
     }
 
-    /// \brief Sends another relay the open requests of this relay's followers, by engine.
-    void send_loads(const router_id& relay, std::span<const engine_requests> loads);
+    /// \brief Sends another relay sums over this relay's followers, by engine.
+    void send_sums(const router_id& relay, sum_kind kind, std::span<const engine_requests> sums);
 
-    /// \brief Sets the callback for loads received from another relay; its first argument is the
-    /// hash of the sender's id.
-    void on_loads(std::function<void(std::uint64_t, std::span<const engine_requests>)> callback)
+    /// \brief Sets the callback for sums received from another relay.
+    void on_sums(std::function<void(const group_sums&)> callback)
     {
-        loads_callback_ = std::move(callback);
+        sums_callback_ = std::move(callback);
     }
 
     /// \brief Sets the callback for changes of the set of routers or of their state.
@@ -103,7 +103,6 @@
     void tick();
     void handle_datagram(std::string_view datagram);
     void handle_sightings(std::string_view datagram);
-    void handle_loads(std::string_view datagram);
     void handle_part_reports(std::string_view datagram);
     std::vector<relay_peer> choose_gossip_peers();
     void send_datagram(const std::string& host, std::uint16_t port, std::string_view datagram);
@@ -122,7 +121,7 @@
     std::map<router_id, known_router> routers_;
     std::function<void()> change_callback_;
     std::function<void(const prefix_sighting&)> sighting_callback_;
-    std::function<void(std::uint64_t, std::span<const engine_requests>)> loads_callback_;
+    std::function<void(const group_sums&)> sums_callback_;
     std::function<void(const part_report&)> part_report_callback_;
     std::uint64_t bytes_sent_ = 0;
 };
--- a/endivestage/serving/replication_relays.cpp
+++ b/endivestage/serving/replication_relays.cpp
@@ -69,8 +69,78 @@
     return loads;
 }
 
+/// A router whose list is longer has no failing endpoints but a bad link.
+constexpr std::size_t max_failing_endpoints = 32;
+
+std::string join_engines(std::span<const engine_requests> engines)
+{
+    std::string text;
+    for (const engine_requests& engine :
+         engines.first(std::min(engines.size(), max_failing_endpoints)))
+    {
+        text += (text.empty() ? "" : ",") + std::to_string(engine.engine);
+    }
+    return text;
+}
+
+/// \returns The engines of a list, with 1 each; a list that cannot be read is empty.
+std::vector<engine_requests> split_engines(std::string_view text)
+{
+    std::vector<engine_requests> engines;
+    while (!text.empty() && engines.size() < max_failing_endpoints)
+    {
+        const std::size_t end = std::min(text.find(','), text.size());
+        const std::uint64_t engine = parse_revision(text.substr(0, end));
+        // A router counts once, however often it names an endpoint.
+        const bool listed =
+            std::any_of(engines.begin(), engines.end(),
+                        [&](const engine_requests& other) { return other.engine == engine; });
+        if (engine != 0 && !listed)
+        {
+            engines.push_back({engine, 1});
+        }
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return engines;
+}
+
 } // namespace
 
+void replication_service::apply_follower_failures(const daemon::http_target& target)
+{
+    // Followers of an earlier release name none.
+    if (!target.parameter("failures").empty())
+    {
+        failure_aggregator_.apply_router_report(hash64(target.parameter("router")),
+                                                split_engines(target.parameter("failing")),
+                                                time_.now());
+    }
+}
+
+void replication_service::exchange_failures(std::span<const router_id> relays, time_point now)
+{
+    failure_aggregator_.apply_router_report(hash64(self_.view()), callbacks_.failing_endpoints(),
+                                            now);
+    const std::vector<engine_requests> sums = failure_aggregator_.follower_loads(now);
+    for (const router_id& relay : relays)
+    {
+        // An empty report must replace the last one, but costs bytes only once there was one.
+        if (relay != self_ && (!sums.empty() || sent_failures_))
+        {
+            callbacks_.send_to_relay(relay, sum_kind::failures, sums);
+        }
+    }
+    sent_failures_ = !sums.empty();
+    callbacks_.on_fleet_failures(failure_aggregator_.changes_since(0, now));
+}
+
+void replication_service::record_group_sums(const group_sums& sums)
+{
+    load_aggregator& aggregator =
+        sums.kind == sum_kind::loads ? load_aggregator_ : failure_aggregator_;
+    aggregator.apply_relay_report(sums.sender, sums.sums, time_.now());
+}
+
 awaitable<std::error_code> replication_service::connect_to_relay(relay_peer relay)
 {
     if (connected_relay_ == relay.candidate.id && relay_connection_ &&
@@ -81,6 +151,7 @@
     relay_connection_ = std::make_shared<daemon::http_connection>(context_.get_executor());
     connected_relay_ = relay.candidate.id;
     loads_sequence_ = 0; // Each relay numbers the changes of its loads itself.
+    failures_sequence_ = 0;
     co_return co_await relay_connection_->connect(relay.address, relay_timeout,
                                                   relay_unacknowledged_timeout);
 }
@@ -121,6 +192,9 @@
         // Relays exchange the sums of their followers' loads instead.
         request.target += "&loads=" + std::to_string(loads_sequence_);
         request.body = json::serialize(encode_loads(callbacks_.open_requests()));
+        // Not in the body, which relays of an earlier release read as a list of loads.
+        request.target += "&failures=" + std::to_string(failures_sequence_) +
+                          "&failing=" + join_engines(callbacks_.failing_endpoints());
     }
     request.fields.emplace_back("Host", daemon::to_string(relay.address));
     const time_point sent_at = time_.now();
@@ -174,6 +248,11 @@
         changes.complete = daemon::get_flag(*response, "loads_complete");
         loads_sequence_ = daemon::get_unsigned(*response, "loads_up_to");
         callbacks_.on_fleet_loads(changes);
+        load_changes failures;
+        failures.loads = decode_loads(daemon::get_array(*response, "failures"));
+        failures.complete = daemon::get_flag(*response, "failures_complete");
+        failures_sequence_ = daemon::get_unsigned(*response, "failures_up_to");
+        callbacks_.on_fleet_failures(failures);
     }
     const std::int64_t age_ms = daemon::get_number(*response, "age_ms", -1);
     // Relays that run an earlier release state the age of the operator's table only.
@@ -207,6 +286,7 @@
         load_aggregator_.apply_router_report(hash64(target.parameter("router")),
                                              decode_loads(posted_loads.get_array()), time_.now());
     }
+    apply_follower_failures(target);
     const millis max_wait{static_cast<std::int64_t>(
         std::min<std::uint64_t>(parse_revision(target.parameter("wait_ms")), 1000))};
     const time_point deadline = time_.now() + max_wait;
@@ -257,6 +337,15 @@
         rest["loads_up_to"] = loads.last_sequence;
         rest["loads_complete"] = loads.complete;
     }
+    const std::string_view failures_since = target.parameter("failures");
+    if (!failures_since.empty())
+    {
+        const load_changes failures =
+            failure_aggregator_.changes_since(parse_revision(failures_since), now);
+        rest["failures"] = encode_loads(failures.loads);
+        rest["failures_up_to"] = failures.last_sequence;
+        rest["failures_complete"] = failures.complete;
+    }
     if (!changed.empty())
     {
         text.clear();
--- a/endivestage/serving/replication_service.cpp
+++ b/endivestage/serving/replication_service.cpp
@@ -320,24 +320,20 @@
         const time_point now = time_.now();
         load_aggregator_.apply_router_report(hash64(self_.view()), callbacks_.open_requests(), now);
         const std::vector<engine_requests> follower_loads = load_aggregator_.follower_loads(now);
-        for (const router_id& relay :
-             source_choice_.choose_relays(to_candidates(callbacks_.live_routers()), now))
+        const std::vector<router_id> relays =
+            source_choice_.choose_relays(to_candidates(callbacks_.live_routers()), now);
+        for (const router_id& relay : relays)
         {
             if (relay != self_)
             {
-                callbacks_.send_to_relay(relay, follower_loads);
+                callbacks_.send_to_relay(relay, sum_kind::loads, follower_loads);
             }
         }
+        exchange_failures(relays, now);
         callbacks_.on_fleet_loads(load_aggregator_.changes_since(0, now));
     }
 }
 
-void replication_service::record_group_loads(std::uint64_t relay,
-                                             std::span<const engine_requests> loads)
-{
-    load_aggregator_.apply_relay_report(relay, loads, time_.now());
-}
-
 awaitable<void> replication_service::follow_relays()
 {
     for (;;)
--- a/endivestage/serving/replication_service.hpp
+++ b/endivestage/serving/replication_service.hpp
@@ -6,6 +6,7 @@
 #include <endivestage/daemon/http_server.hpp>
 #include <endivestage/routing.hpp>
 #include <endivestage/serving/change_encoding.hpp>
+#include <endivestage/serving/sum_datagram.hpp>
 #include <endivestage/serving/table_client.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -43,8 +44,12 @@
     std::function<std::vector<engine_requests>()> open_requests;
     /// Receives changed sums of all routers' open requests by engine.
     std::function<void(const load_changes&)> on_fleet_loads;
-    /// Sends the sums over this relay's followers to another relay.
-    std::function<void(const router_id&, std::span<const engine_requests>)> send_to_relay;
+    /// Returns the endpoints that fail by this router's own outcomes, with 1 each.
+    std::function<std::vector<engine_requests>()> failing_endpoints;
+    /// Receives changed numbers of routers that see an endpoint fail.
+    std::function<void(const load_changes&)> on_fleet_failures;
+    /// Sends sums over this relay's followers to another relay.
+    std::function<void(const router_id&, sum_kind, std::span<const engine_requests>)> send_to_relay;
     /// Returns the routers that are considered alive, this one included.
     std::function<std::vector<relay_peer>()> live_routers;
     /// Returns the routers that have registered and are not known to be dead, this one included. A
@@ -75,9 +80,8 @@
     /// that it waits has elapsed.
     daemon::awaitable<daemon::http_response> handle_peer_request(daemon::http_request request);
 
-    /// \brief Records the sums of open requests over the followers of another relay.
-    /// \param relay Hash of the relay's id.
-    void record_group_loads(std::uint64_t relay, std::span<const engine_requests> loads);
+    /// \brief Records the sums over the followers of another relay.
+    void record_group_sums(const group_sums& sums);
 
     /// \returns Age of the copy of a table; nothing before the first copy. The age of the routers'
     /// table is known only on routers that poll the table service.
@@ -93,6 +97,17 @@
     const table_replica& replica(shared_table table) const { return replicas_.at(table); }
 
 private:
+    /// Each router that sees an endpoint fail counts, so every change is published at once.
+    static load_aggregator_config make_failure_aggregator_config()
+    {
+        load_aggregator_config config;
+        config.min_change = 1;
+        config.min_change_ratio = 0.0;
+        return config;
+    }
+
+    void apply_follower_failures(const daemon::http_target& target);
+    void exchange_failures(std::span<const router_id> relays, time_point now);
     daemon::awaitable<void> follow_service(shared_table table);
     bool polls_service(shared_table table) const;
     millis poll_wait(shared_table table) const;
@@ -160,6 +175,10 @@
     std::uint64_t store_calls_ = 0;
     load_aggregator load_aggregator_;
     std::uint64_t loads_sequence_ = 0; ///< Sequence number up to which the relay's loads were read.
+    /// Sums the routers that see an endpoint fail, as load_aggregator_ sums open requests.
+    load_aggregator failure_aggregator_{make_failure_aggregator_config()};
+    std::uint64_t failures_sequence_ = 0; ///< The same for failures.
+    bool sent_failures_ = false;          ///< The last sums that were sent were not empty.
 };
 
 } // namespace endivestage::serving
--- a/endivestage/serving/router_metrics.cpp
+++ b/endivestage/serving/router_metrics.cpp
@@ -109,6 +109,8 @@
     set_gauge("endivestage_endpoint_notices",
               "Endpoints that leave or want no requests by their own answers.",
               static_cast<double>(values.notices));
+    set_gauge("endivestage_failing_endpoints", "Endpoints that several routers see fail.",
+              static_cast<double>(values.failing_endpoints));
     set_gauge("endivestage_response_bytes", "Bytes of answers that are being read.",
               static_cast<double>(values.response_bytes));
     set_gauge("endivestage_config_version", "Version of the configuration in force.",
--- a/endivestage/serving/router_metrics.hpp
+++ b/endivestage/serving/router_metrics.hpp
@@ -24,7 +24,8 @@
     std::uint64_t store_calls = 0;     ///< Calls to the table service since start.
     std::size_t quarantined_parts = 0; ///< Parts of prompts that are kept from engines.
     std::size_t notices = 0; ///< Endpoints that said of themselves that they want no requests.
-    std::size_t response_bytes = 0; ///< Memory of answers that are being read.
+    std::size_t failing_endpoints = 0; ///< Endpoints that several routers see fail.
+    std::size_t response_bytes = 0;    ///< Memory of answers that are being read.
     millis copy_age{-1};           ///< Age of the operator's table; negative before the first copy.
     millis endpoints_copy_age{-1}; ///< Age of the endpoints' table; negative before the first copy.
     bool relaying = false;
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -217,9 +217,18 @@
     {
         state_.endpoints.apply_fleet_loads(changes, time_.now());
     };
-    callbacks.send_to_relay = [this](const router_id& relay, std::span<const engine_requests> loads)
+    callbacks.send_to_relay =
+        [this](const router_id& relay, sum_kind kind, std::span<const engine_requests> sums)
     {
-        peer_service_->send_loads(relay, loads);
+        peer_service_->send_sums(relay, kind, sums);
+    };
+    callbacks.failing_endpoints = [this]
+    {
+        return state_.endpoints.failing_endpoints(time_.now());
+    };
+    callbacks.on_fleet_failures = [this](const load_changes& changes)
+    {
+        state_.endpoints.apply_fleet_failures(changes, time_.now());
     };
     callbacks.live_routers = [this]
     {
@@ -242,8 +251,8 @@
             }
         });
     peer_service_->on_part_report([this](const part_report& report) { apply_part_report(report); });
-    peer_service_->on_loads([this](std::uint64_t relay, std::span<const engine_requests> loads)
-                            { replication_->record_group_loads(relay, loads); });
+    peer_service_->on_sums([this](const group_sums& sums)
+                           { replication_->record_group_sums(sums); });
     asio::co_spawn(context_, gossip(), asio::detached);
     co_await announce_self();
 }
@@ -339,6 +348,7 @@
     gauges.endpoints = state_.endpoints.size();
     gauges.routers = state_.routers.size();
     gauges.notices = state_.notices.size();
+    gauges.failing_endpoints = state_.endpoints.fleet_failures(time_.now());
     gauges.response_bytes = state_.response_memory.in_use();
     gauges.config_version = state_.routes ? state_.routes->version() : 0;
     gauges.ready = state_.is_ready();
--- a/tests/daemon_replication_test.cpp
+++ b/tests/daemon_replication_test.cpp
@@ -108,7 +108,9 @@
     };
     callbacks.on_fleet_loads = [](const load_changes&) {
     };
-    callbacks.send_to_relay = [](const router_id&, std::span<const engine_requests>) {
+    callbacks.failing_endpoints = callbacks.open_requests;
+    callbacks.on_fleet_failures = callbacks.on_fleet_loads;
+    callbacks.send_to_relay = [](const router_id&, sum_kind, std::span<const engine_requests>) {
     };
     callbacks.live_routers = [&]
     {
