Rank routes without estimates by the router's own load

Cause: at services whose endpoints report a pace, requests without a chat followed the fleet's sums also while their route had too few answers for an estimate. Such requests end before the sums arrive, so all routers would choose the endpoint that was idle before. Change: rank_endpoints looks first whether there is an estimate. Before: the new case in tests/observed_times_test fails. After: it passes (392 assertions in 11 cases), and so do endpoint_choice_test and load_aggregator_test.

--- a/endivestage/routing/endpoint_choice.cpp
+++ b/endivestage/routing/endpoint_choice.cpp
@@ -161,7 +161,9 @@
     const double median_rate = median_failure_rate(input.endpoints);
     std::vector<candidate> candidates;
     candidates.reserve(input.endpoints.size());
-    bool by_estimate = input.estimator != nullptr && reports_pace(input.endpoints);
+    bool by_estimate =
+        input.estimator != nullptr && reports_pace(input.endpoints) &&
+        input.estimator->estimate(*input.endpoints.front(), input.work, input.now).known;
     // Failures at many endpoints at once come from links or overload; the rest could not take over.
     const std::size_t failing = static_cast<std::size_t>(
         std::count_if(input.endpoints.begin(), input.endpoints.end(),
--- a/tests/observed_times_test.cpp
+++ b/tests/observed_times_test.cpp
@@ -269,3 +269,20 @@
     const std::vector<const endpoint_state*> available = v.endpoints.available(pool, {1000});
     REQUIRE(ranked.front()->hash == find_rendezvous_pair(available, chat.back().hash).first);
 }
+
+// Guards against rare routes whose requests follow the fleet's sums, which arrive after such
+// requests have ended.
+TEST_CASE("a route with few answers is ranked by what the router sees itself")
+{
+    view v(3);
+    v.report_all(4, {1000});
+    load_changes sums{{}, 1, true};
+    sums.loads.push_back({v.at(0).hash, 40});
+    sums.loads.push_back({v.at(1).hash, 40});
+    v.endpoints.apply_fleet_loads(sums, {1000});
+    v.endpoints.begin_request(view::id(2));
+    for (std::uint64_t n = 0; n < 20; ++n)
+    {
+        REQUIRE(v.rank({1000}, n).back()->record.id == view::id(2));
+    }
+}
