--- a/endivestage/serving/router_metrics.hpp
+++ b/endivestage/serving/router_metrics.hpp
@@ -25,7 +25,8 @@
     std::uint64_t store_calls = 0;     ///< Calls to the table service since start.
     std::size_t quarantined_parts = 0; ///< Parts of prompts that are kept from engines.
     std::size_t notices = 0; ///< Endpoints that said of themselves that they want no requests.
-    std::size_t response_bytes = 0; ///< Memory of answers that are being read.
+    std::size_t failing_endpoints = 0; ///< Endpoints that several routers see fail.
+    std::size_t response_bytes = 0;    ///< Memory of answers that are being read.
     millis copy_age{-1};           ///< Age of the operator's table; negative before the first copy.
     millis endpoints_copy_age{-1}; ///< Age of the endpoints' table; negative before the first copy.
     bool relaying = false;
@@ -48,6 +49,8 @@
     void record_first_event(millis latency);
     /// \brief Counts a load report with an unknown number of figures.
     void record_unknown_load_report();
+    /// \brief Counts an attempt that was given up without a first event.
+    void record_first_event_timeout();
     /// \param estimated,took Time from sending a request to its first event.
     void record_estimate(millis estimated, millis took);
     /// \param decision "admitted", or why a request was refused or dropped; one of a fixed set.
--- a/tests/overload_admission_test.cpp
+++ b/tests/overload_admission_test.cpp
@@ -24,7 +24,9 @@
 
 service_admission make_full(service_load load)
 {
-    service_admission admission({}, by_cost);
+    overload_config config;
+    config.enabled = true;
+    service_admission admission(config, by_cost);
     admission.update_load(load, {0});
     return admission;
 }
--- a/tests/overload_replay_test.cpp
+++ b/tests/overload_replay_test.cpp
@@ -143,6 +143,7 @@
 replay_result replay(const waiting_order& order, bool product, const variant& v)
 {
     overload_config config;
+    config.enabled = true;
     if (!product)
     {
         // The alternatives are the bare orders, without floors and without a band around the bound.
