Decide roll-outs of service versions in a module of the core

Cause: an operator's order to move a service to another version has no effect, and a bad version gets all its requests. Before: no such decisions. Conclusion: the serving module can apply it.

--- /dev/null
+++ b/endivestage/rollout/record.hpp
@@ -0,0 +1,67 @@
+/// \file
+/// \brief Orders to move a service to a version, and the fleet's record of how far it has come.
+#pragma once
+
+#include <endivestage/core.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace endivestage
+{
+
+/// \brief The operator's order to move a service to another version.
+struct rollout_order
+{
+    service_id service;
+    std::string to; ///< The version that is to get the service's traffic.
+    millis duration{0};
+    std::uint64_t revision = 0; ///< Revision of the order's row; a later order has a higher one.
+};
+
+/// \brief Phases of a roll-out. They only move forward.
+enum class rollout_phase
+{
+    serving,   ///< The new version gets a small share of the requests.
+    switching, ///< The new version gets all new requests; the old one ends what it runs.
+    completed, ///< The old version gets nothing and is stopped.
+    reverted,  ///< The new version gets nothing.
+};
+
+/// \returns The snake_case name of a phase.
+std::string_view to_string(rollout_phase phase);
+
+/// \returns The phase with this name; nothing for an unknown one.
+std::optional<rollout_phase> parse_rollout_phase(std::string_view name);
+
+/// \returns Whether no other phase follows.
+bool is_final(rollout_phase phase);
+
+/// \brief The fleet's record of a roll-out, which all routers follow.
+struct rollout_record
+{
+    service_id service;
+    std::uint64_t order_revision = 0;
+    std::string to;
+    rollout_phase phase = rollout_phase::serving;
+    double share = 0.0;    ///< Part of the requests that the new version gets while serving.
+    std::string reason;    ///< Why this phase or share was chosen.
+    time_point ordered_at; ///< Wall clock of the first writer when it read the order.
+    std::string base;      ///< The only old version; empty if all others are old ones.
+    std::set<std::string> excluded; ///< Versions of earlier orders that must not get requests.
+    std::uint64_t row_revision = 0; ///< Of the stored row; 0 before the first write.
+};
+
+/// \brief The record with which the roll-out of an order begins.
+/// \param previous Record of the service's latest order before; null if there is none.
+rollout_record begin_rollout(const rollout_order& order, const rollout_record* previous,
+                             time_point wall_now);
+
+/// \returns Whether \p next may replace \p current: it belongs to a later order, or to the same one
+/// and neither goes back nor leaves a final phase.
+bool may_replace(const rollout_record& next, const rollout_record& current);
+
+} // namespace endivestage
--- a/endivestage/routing/endpoint_directory.hpp
+++ b/endivestage/routing/endpoint_directory.hpp
@@ -28,6 +28,7 @@
     millis cold_left{0};         ///< Time for which it stays cold, from when the record was read.
     std::int64_t started_at = 0; ///< Unix time of its start in ms; 0 if unknown.
     std::uint32_t slots = 1;     ///< Weight of the endpoint when load is distributed.
+    std::string version;         ///< Release that it runs; empty if its record does not say.
 };
 
 /// \brief How a request to an endpoint ended, as far as it is evidence about the endpoint.
