Move services to the version that the operator orders

Cause: the row op/rollout/SERVICE has no effect: endpoints of all versions get requests, and no status is written. Change: routers follow orders and records, choose endpoints by version, count responses and send the counts with loads; the router that polls the store decides and writes record and status in one conditional transaction. The mock in daemon_replication_test has the new function of its interface. Before: no roll-outs. After: build/daemon_rollout_test passes: a good version is completed; failing, slow, one-route, late and disconnecting versions are reverted and get nothing afterwards; a starting router reads the phase back; counts of a follower revert. build/daemon_platform_path_test passes unchanged.

--- a/endivestage/daemon/command_line.cpp
+++ b/endivestage/daemon/command_line.cpp
@@ -194,6 +194,12 @@
     timeline->add_option("--zone", values.zone, "Only events of this zone");
     add_remote(*timeline, values);
     add_load_command(app, values.load, code);
+    CLI::App* rollouts =
+        add_command(app, "rollouts", "Print state and reason of each roll-out", code,
+                    [&values] { return run_rollouts(values.remote.router, values.remote.json); });
+    rollouts->add_option("--router", values.remote.router, "IP:PORT of a router's peer port")
+        ->required();
+    rollouts->add_flag("--json", values.remote.json, "Print JSON");
     add_command(app, "version", "Print the version", code,
                 []
                 {
--- a/endivestage/daemon/commands.hpp
+++ b/endivestage/daemon/commands.hpp
@@ -112,6 +112,10 @@
 /// \returns exit_failure when a file cannot be read or nothing was selected.
 int run_logs(const log_query& query);
 
+/// \brief Prints the state of all roll-outs as a router sees them.
+/// \param router "IP:PORT" of a router's peer port.
+int run_rollouts(const std::string& router, bool as_json);
+
 /// \brief Parses the command line and runs the command.
 int run_command_line(int argc, char** argv);
 
--- a/endivestage/rollout/controller.cpp
+++ b/endivestage/rollout/controller.cpp
@@ -10,6 +10,8 @@
 
 /// A smaller change of the share is not worth a write.
 constexpr double min_share_change = 0.2;
+/// A chat with a large part of the requests may need a far smaller share to leave the new version.
+constexpr double min_share = 1e-4;
 /// `completed` is written at the latest after this part of a short order.
 constexpr std::int64_t margin_divisor = 8;
 /// Parts of the drain time by which a doubtful version's switch is delayed at most.
@@ -81,7 +83,7 @@
     // What is on the way to this router and still runs is not counted yet.
     const double allowed = config_.exposure_share * config_.share_margin * total +
                            config_.exposure_slack * config_.slack_margin;
-    if (exposed > allowed && current.share > config_.initial_share / 2)
+    if (exposed > allowed && current.share > min_share)
     {
         return current.share / 2;
     }
@@ -137,6 +139,24 @@
     return next;
 }
 
+std::optional<rollout_record> rollout_controller::announce(const rollout_order& order,
+                                                           const rollout_record& current,
+                                                           time_point now)
+{
+    if (!ended_at_)
+    {
+        ended_at_ = now;
+    }
+    const millis delay = std::min(config_.announce_delay, order.duration / (margin_divisor * 2));
+    if (current.announced || now - *ended_at_ < delay)
+    {
+        return std::nullopt;
+    }
+    rollout_record next = current;
+    next.announced = true;
+    return next;
+}
+
 std::optional<rollout_record> rollout_controller::decide(const rollout_order& order,
                                                          const rollout_record& current,
                                                          const rollout_observation& observed,
@@ -144,7 +164,7 @@
 {
     if (is_final(current.phase))
     {
-        return std::nullopt;
+        return announce(order, current, now);
     }
     if (!started_at_)
     {
--- a/endivestage/rollout/controller.hpp
+++ b/endivestage/rollout/controller.hpp
@@ -14,15 +14,18 @@
 /// \brief Bounds and tunables of a \ref rollout_controller.
 struct rollout_config
 {
-    double exposure_share = 0.1;   ///< Part of all requests that a bad version may get.
-    double exposure_slack = 50.0;  ///< Requests on top.
-    double share_margin = 0.7;     ///< Used part of exposure_share.
-    double slack_margin = 0.5;     ///< Used part of exposure_slack.
-    double initial_share = 0.05;   ///< Until the rate of requests is known.
-    double max_share = 0.5;        ///< While the version is not proven.
-    millis rate_period{1000};      ///< Time after which the rate of requests is known.
-    millis recent_period{2000};    ///< A fault that begins late shows in the latest counts.
-    millis write_margin{1500};     ///< `completed` is written this long before the deadline.
+    double exposure_share = 0.1;  ///< Part of all requests that a bad version may get.
+    double exposure_slack = 50.0; ///< Requests on top.
+    double share_margin = 0.7;    ///< Used part of exposure_share.
+    double slack_margin = 0.5;    ///< Used part of exposure_slack.
+    double initial_share = 0.05;  ///< Until the rate of requests is known.
+    double max_share = 0.5;       ///< While the version is not proven.
+    millis rate_period{1000};     ///< Time after which the rate of requests is known.
+    millis recent_period{2000};   ///< A fault that begins late shows in the latest counts.
+    millis write_margin{1500};    ///< `completed` is decided this long before the deadline.
+    /// A final phase is announced this long after the decision was stored. All routers act on it by
+    /// then, since relays pass changes on at once.
+    millis announce_delay{500};
     millis min_observation{1500};  ///< Evidence of a shorter time completes nothing.
     double drain_share = 0.4;      ///< At most this part of the time is left for open requests.
     double revert_chance = 1e-5;   ///< A sign this unlikely reverts the version at once.
@@ -55,7 +58,7 @@
     /// \returns When new requests should all go to the new version, after the order.
     millis switch_time(millis duration, millis longest_request) const;
 
-    /// \returns When `completed` should be written, after the order.
+    /// \returns When the old version gets nothing any more, after the order.
     millis completion_time(millis duration) const;
 
 private:
@@ -65,6 +68,8 @@
         evidence_counts counts;
     };
 
+    std::optional<rollout_record> announce(const rollout_order& order,
+                                           const rollout_record& current, time_point now);
     comparison find_sign(const rollout_record& current, const rollout_observation& observed,
                          time_point now);
     std::optional<double> adjust_share(const rollout_order& order, const rollout_record& current,
@@ -77,6 +82,7 @@
     rollout_config config_;
     std::deque<snapshot> snapshots_;       ///< Of recent_period.
     std::optional<time_point> started_at_; ///< First decision.
+    std::optional<time_point> ended_at_;   ///< When the final phase was first read.
 };
 
 } // namespace endivestage
--- a/endivestage/rollout/record.cpp
+++ b/endivestage/rollout/record.cpp
@@ -35,6 +35,11 @@
     return phase == rollout_phase::completed || phase == rollout_phase::reverted;
 }
 
+bool is_ended(const rollout_record& record)
+{
+    return is_final(record.phase) && record.announced;
+}
+
 rollout_record begin_rollout(const rollout_order& order, const rollout_record* previous,
                              time_point wall_now)
 {
@@ -73,8 +78,11 @@
     {
         return next.order_revision > current.order_revision;
     }
-    return !is_final(current.phase) &&
-           static_cast<int>(next.phase) >= static_cast<int>(current.phase);
+    if (is_final(current.phase))
+    {
+        return next.phase == current.phase && !current.announced;
+    }
+    return static_cast<int>(next.phase) >= static_cast<int>(current.phase);
 }
 
 } // namespace endivestage
--- a/endivestage/rollout/record.hpp
+++ b/endivestage/rollout/record.hpp
@@ -47,6 +47,9 @@
     std::uint64_t order_revision = 0;
     std::string to;
     rollout_phase phase = rollout_phase::serving;
+    /// The operator was told the final phase. All routers act on it some time before, so that no
+    /// request is sent to a version after the operator was told that it gets none.
+    bool announced = false;
     double share = 0.0;    ///< Part of the requests that the new version gets while serving.
     std::string reason;    ///< Why this phase or share was chosen.
     time_point ordered_at; ///< Wall clock of the first writer when it read the order.
@@ -55,13 +58,16 @@
     std::uint64_t row_revision = 0; ///< Of the stored row; 0 before the first write.
 };
 
+/// \returns Whether nothing more is to be done.
+bool is_ended(const rollout_record& record);
+
 /// \brief The record with which the roll-out of an order begins.
 /// \param previous Record of the service's latest order before; null if there is none.
 rollout_record begin_rollout(const rollout_order& order, const rollout_record* previous,
                              time_point wall_now);
 
 /// \returns Whether \p next may replace \p current: it belongs to a later order, or to the same one
-/// and neither goes back nor leaves a final phase.
+/// and neither goes back nor leaves a final phase, except to announce it.
 bool may_replace(const rollout_record& next, const rollout_record& current);
 
 } // namespace endivestage
--- a/endivestage/rollout/traffic.cpp
+++ b/endivestage/rollout/traffic.cpp
@@ -185,8 +185,8 @@
 {
     const rollout_order* ordered = order(service);
     const rollout_record* known = record(service);
-    return ordered != nullptr && (known == nullptr || known->order_revision < ordered->revision ||
-                                  !is_final(known->phase));
+    return ordered != nullptr &&
+           (known == nullptr || known->order_revision < ordered->revision || !is_ended(*known));
 }
 
 } // namespace endivestage
--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -187,17 +187,26 @@
     const usable_endpoints usable =
         state_.notices.select(available, state_.bounds.max_drain_delay, now);
     first_return_ = usable.first_return;
+    if (decoded_.chat_hash)
+    {
+        rendezvous_pair_ = find_rendezvous_pair(available, *decoded_.chat_hash);
+    }
+    const version_choice versions = choose_versions(usable.endpoints);
+    const endpoint_state* chosen = choose_among(versions.preferred);
+    return chosen != nullptr || versions.fallback.empty() ? chosen
+                                                          : choose_among(versions.fallback);
+}
+
+const endpoint_state* exchange::choose_among(std::span<const endpoint_state* const> endpoints)
+{
+    const time_point now = state_.time.now();
     endpoint_choice_input input;
-    input.endpoints = usable.endpoints;
+    input.endpoints = endpoints;
     input.tried = tried_;
     input.now = now;
     input.chat_hash = decoded_.chat_hash;
     input.prefixes = &state_.prefixes;
     input.tie_breaker = state_.random.next();
-    if (decoded_.chat_hash)
-    {
-        rendezvous_pair_ = find_rendezvous_pair(available, *decoded_.chat_hash);
-    }
     for (const endpoint_state* endpoint : rank_endpoints(state_.endpoints, input, state_.choice))
     {
         if (!endpoint->is_cold(now) || profile_ == nullptr ||
@@ -214,6 +223,10 @@
 bool exchange::is_usable(const endpoint_record& endpoint) const
 {
     const time_point now = state_.time.now();
+    if (!may_run(endpoint))
+    {
+        return false;
+    }
     if (!state_.notices.is_leaving(endpoint) &&
         state_.notices.hold_off_left(endpoint, now) == millis{0})
     {
@@ -231,11 +244,14 @@
 {
     const time_point now = state_.time.now();
     const std::uint64_t target_hash = hash64(target.view());
+    const endpoint_state* receiver = state_.endpoints.find(target);
+    const bool within_version = receiver != nullptr && state_.rollouts.rule(service_) != nullptr;
     const auto usable = [&](std::uint64_t hash)
     {
         const endpoint_state* engine = state_.endpoints.find_by_hash(hash);
-        return engine != nullptr && hash != target_hash && now >= engine->avoid_until &&
-               engine->consecutive_failures == 0;
+        return engine != nullptr && hash != target_hash &&
+               (!within_version || engine->record.version == receiver->record.version) &&
+               now >= engine->avoid_until && engine->consecutive_failures == 0;
     };
     std::optional<std::uint64_t> source = state_.prefixes.find_source(
         decoded_.shared_prompt, target_hash, usable, min_copied_tokens, now);
@@ -280,6 +296,7 @@
         last_endpoint_ = endpoint.id;
         state_.endpoints.begin_request(endpoint.id);
         const endpoint_outcome outcome = co_await attempt(endpoint);
+        record_version_outcome(endpoint, outcome);
         const millis cold_period = profile_ != nullptr ? profile_->cold_period : millis{0};
         if (caller_left_)
         {
--- a/endivestage/serving/exchange.hpp
+++ b/endivestage/serving/exchange.hpp
@@ -40,9 +40,25 @@
         response_info info;
     };
 
+    /// \brief What an attempt tells about the version of its endpoint.
+    struct measured_attempt
+    {
+        std::string version;
+        std::optional<time_point> sent_at; ///< Nothing unless the request was sent.
+        std::optional<millis> first_event; ///< Or the head of a response that is no stream.
+        bool waited_out = false;           ///< No response came within the time allowed for it.
+        bool cold = false;
+        bool reads_prompt = false; ///< The endpoint was not known to hold the chat's history.
+    };
+
     daemon::awaitable<bool> refuse_quarantined();
     daemon::awaitable<void> try_endpoints();
     const endpoint_state* choose_endpoint();
+    const endpoint_state* choose_among(std::span<const endpoint_state* const> endpoints);
+    version_choice choose_versions(std::span<const endpoint_state* const> usable) const;
+    bool may_run(const endpoint_record& endpoint) const;
+    void begin_measuring(const endpoint_record& endpoint);
+    void record_version_outcome(const endpoint_record& endpoint, endpoint_outcome outcome);
     std::optional<daemon::network_address> find_copy_source(const endpoint_id& target) const;
     void record_prefixes(const endpoint_id& engine);
     void record_served_prompt();
@@ -94,6 +110,7 @@
     /// Time until an endpoint returns, if all endpoints want no requests for a while.
     std::optional<millis> first_return_;
     endpoint_id last_endpoint_;
+    measured_attempt measured_;
     received_response response_;
     std::string response_body_;
     buffer_share response_share_; ///< Memory of the answer that is being read.
--- a/endivestage/serving/exchange_attempt.cpp
+++ b/endivestage/serving/exchange_attempt.cpp
@@ -124,6 +124,7 @@
     ++history_.sends;
     response_share_.release();
     beyond_first_event_ = false;
+    begin_measuring(endpoint);
     connection_->send(state_.codec.encode_request(request_, info));
     const endpoint_outcome outcome = co_await read_response(endpoint, max_wait);
     if (outcome != endpoint_outcome::shed && outcome != endpoint_outcome::misdirected)
@@ -284,11 +285,13 @@
     result<received_response> response = co_await read_matching_head(max_wait);
     if (!response)
     {
+        measured_.waited_out = state_.time.now() >= first_event_deadline;
         co_return endpoint_outcome::broken;
     }
     record_endpoint_state(endpoint, response->info);
     if (!response->info.success || !response->info.is_event_stream)
     {
+        measured_.first_event = state_.time.now() - measured_.sent_at.value_or(time_point{});
         response_ = std::move(*response);
         co_return co_await forward_body();
     }
--- a/endivestage/serving/exchange_response.cpp
+++ b/endivestage/serving/exchange_response.cpp
@@ -133,6 +133,7 @@
         result<std::string> chunk = co_await connection_->read_some(max_wait);
         if (!chunk)
         {
+            measured_.waited_out = state_.time.now() >= wait_until;
             co_return endpoint_outcome::broken;
         }
         const bool end = chunk->empty();
@@ -154,6 +155,8 @@
         {
             if (first)
             {
+                measured_.first_event =
+                    state_.time.now() - measured_.sent_at.value_or(time_point{});
                 state_.metrics.record_first_event(state_.time.now() - request_.received);
                 // The first event shows that the engine has processed the prompt and caches it.
                 record_prefixes(last_endpoint_);
--- a/endivestage/serving/peer_service.hpp
+++ b/endivestage/serving/peer_service.hpp
@@ -87,6 +87,15 @@
         loads_callback_ = std::move(callback);
     }
 
+    /// \brief Sends another relay the counts of this relay's followers during roll-outs.
+    void send_rollout_counts(const router_id& relay, std::string_view counts);
+
+    /// \brief Sets the callback for such counts; its first argument is the hash of the sender's id.
+    void on_rollout_counts(std::function<void(std::uint64_t, std::string_view)> callback)
+    {
+        rollout_counts_callback_ = std::move(callback);
+    }
+
     /// \brief Sets the callback for changes of the set of routers or of their state.
     void on_change(std::function<void()> callback) { change_callback_ = std::move(callback); }
 
@@ -124,6 +133,7 @@
     std::function<void(const prefix_sighting&)> sighting_callback_;
     std::function<void(std::uint64_t, std::span<const engine_requests>)> loads_callback_;
     std::function<void(const part_report&)> part_report_callback_;
+    std::function<void(std::uint64_t, std::string_view)> rollout_counts_callback_;
     std::uint64_t bytes_sent_ = 0;
 };
 
--- a/endivestage/serving/replication_relays.cpp
+++ b/endivestage/serving/replication_relays.cpp
@@ -69,6 +69,20 @@
     return loads;
 }
 
+/// Appends the report as the last element of the array of loads. A relay of an earlier release
+/// skips an element that is no load.
+bool append_rollout_report(rollout_exchange* rollouts, std::string& loads)
+{
+    const std::string report = rollouts != nullptr ? rollouts->pending_report() : std::string();
+    if (report.empty())
+    {
+        return false;
+    }
+    loads.pop_back();
+    loads += (loads.size() > 1 ? "," : "") + report + "]";
+    return true;
+}
+
 } // namespace
 
 awaitable<std::error_code> replication_service::connect_to_relay(relay_peer relay)
@@ -114,6 +128,7 @@
         request.target += "&" + std::string(to_string(table)) + "=" +
                           std::to_string(replicas_.at(table).revision().value_or(0));
     }
+    bool reported = false;
     request.method = "POST";
     request.target += "&router=" + self_.str();
     if (!relaying_)
@@ -121,6 +136,7 @@
         // Relays exchange the sums of their followers' loads instead.
         request.target += "&loads=" + std::to_string(loads_sequence_);
         request.body = json::serialize(encode_loads(callbacks_.open_requests()));
+        reported = append_rollout_report(rollouts_, request.body);
     }
     request.fields.emplace_back("Host", daemon::to_string(relay.address));
     const time_point sent_at = time_.now();
@@ -134,6 +150,10 @@
     {
         co_return make_error_code(errc::peer_unavailable);
     }
+    if (reported)
+    {
+        rollouts_->acknowledge_report();
+    }
     result<std::string> body = co_await daemon::read_body(*relay_connection_, relay_body_timeout,
                                                           max_relay_response_bytes);
     if (body)
@@ -206,6 +226,11 @@
     {
         load_aggregator_.apply_router_report(hash64(target.parameter("router")),
                                              decode_loads(posted_loads.get_array()), time_.now());
+        const json::array& posted = posted_loads.get_array();
+        if (rollouts_ != nullptr && !posted.empty() && posted.back().is_object())
+        {
+            rollouts_->apply_report(hash64(target.parameter("router")), posted.back().get_object());
+        }
     }
     const millis max_wait{static_cast<std::int64_t>(
         std::min<std::uint64_t>(parse_revision(target.parameter("wait_ms")), 1000))};
--- a/endivestage/serving/replication_service.cpp
+++ b/endivestage/serving/replication_service.cpp
@@ -232,7 +232,10 @@
             std::max(sent, service_clock_.earliest_local(response->timestamp).value_or(sent)));
     }
     callbacks_.on_updated();
-    if (!changed || table == shared_table::operations)
+    const bool urgent =
+        table == shared_table::operations ||
+        (table == shared_table::routers && rollouts_ != nullptr && rollouts_->is_active());
+    if (!changed || urgent)
     {
         co_return millis{0};
     }
@@ -326,6 +329,10 @@
             if (relay != self_)
             {
                 callbacks_.send_to_relay(relay, follower_loads);
+                if (rollouts_ != nullptr)
+                {
+                    rollouts_->send_to_relay(relay);
+                }
             }
         }
         callbacks_.on_fleet_loads(load_aggregator_.changes_since(0, now));
--- a/endivestage/serving/replication_service.hpp
+++ b/endivestage/serving/replication_service.hpp
@@ -52,6 +52,30 @@
     std::function<std::vector<relay_peer>()> registered_routers;
 };
 
+/// \brief Carries counts of roll-outs along with loads.
+class rollout_exchange
+{
+public:
+    virtual ~rollout_exchange() = default;
+
+    /// \returns Whether a roll-out is under way, so that records must be read without a pause.
+    virtual bool is_active() const = 0;
+    /// \returns This router's report to its relay as a JSON object; empty when there is none. The
+    /// same report is returned until \ref acknowledge_report.
+    virtual std::string pending_report() = 0;
+    /// \brief The relay has the report.
+    virtual void acknowledge_report() = 0;
+    /// \brief Receives the report of a router that follows this relay.
+    virtual void apply_report(std::uint64_t router, const boost::json::object& report) = 0;
+    /// \brief Sends the sums over this relay's followers to another relay.
+    virtual void send_to_relay(const router_id& relay) = 0;
+
+protected:
+    rollout_exchange() = default;
+    rollout_exchange(const rollout_exchange&) = default;
+    rollout_exchange& operator=(const rollout_exchange&) = default;
+};
+
 /// \brief Fetches changes of all shared tables from the table service or from a relay.
 class replication_service
 {
@@ -67,6 +91,9 @@
     /// source.
     void start(const change_batch& routers, bool first_start);
 
+    /// \brief Sets what carries counts of roll-outs; must outlive the io_context's run.
+    void set_rollouts(rollout_exchange& rollouts) { rollouts_ = &rollouts; }
+
     /// \returns Whether each table was read at least once.
     bool is_complete() const;
 
@@ -159,6 +186,7 @@
     time_point starts_from_service_at_;
     std::uint64_t store_calls_ = 0;
     load_aggregator load_aggregator_;
+    rollout_exchange* rollouts_ = nullptr;
     std::uint64_t loads_sequence_ = 0; ///< Sequence number up to which the relay's loads were read.
 };
 
--- a/endivestage/serving/router_metrics.cpp
+++ b/endivestage/serving/router_metrics.cpp
@@ -58,6 +58,33 @@
         .add();
 }
 
+void router_metrics::record_rollout_response(bool new_version, bool failed)
+{
+    registry_
+        .get_counter(
+            "endivestage_rollout_responses_total", "Responses during roll-outs.",
+            {{"result", failed ? "failed" : "other"}, {"version", new_version ? "new" : "old"}})
+        .add();
+}
+
+void router_metrics::record_rollout_write(bool success)
+{
+    registry_
+        .get_counter("endivestage_rollout_writes_total",
+                     "Steps of roll-outs that this router tried to store.",
+                     {{"result", success ? "stored" : "failed"}})
+        .add();
+}
+
+void router_metrics::set_rollout(const service_id& service, double share)
+{
+    registry_
+        .get_gauge("endivestage_rollout_share",
+                   "Part of the requests that the ordered version may get.",
+                   {{"service", service.str()}})
+        .set(share);
+}
+
 void router_metrics::record_loop_delay(millis delay)
 {
     registry_
--- a/endivestage/serving/router_metrics.hpp
+++ b/endivestage/serving/router_metrics.hpp
@@ -46,6 +46,11 @@
     /// \param latency Time from the first byte of the request to the first event of its stream.
     void record_first_event(millis latency);
     void record_connection(bool success);
+    /// \brief Counts a response during a roll-out.
+    void record_rollout_response(bool new_version, bool failed);
+    void record_rollout_write(bool success);
+    /// \param share Part of the service's requests that the ordered version gets.
+    void set_rollout(const service_id& service, double share);
     /// \param delay How late a timer of the event loop was handled.
     void record_loop_delay(millis delay);
     void set_gauges(const router_gauges& values);
--- a/endivestage/serving/router_state.hpp
+++ b/endivestage/serving/router_state.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <endivestage/core.hpp>
+#include <endivestage/rollout.hpp>
 #include <endivestage/routing.hpp>
 #include <endivestage/serving/connection_pool.hpp>
 #include <endivestage/serving/router_metrics.hpp>
@@ -31,6 +32,11 @@
     double cold_slack = 5.0;       ///< Requests in any second.
     millis stop_grace{8000};       ///< A stopping process is killed after this time.
     millis address_lifetime{2000}; ///< Time for which callers use an address response.
+    double exposure_share = 0.1;   ///< Part of a service's requests that a bad version may get.
+    double exposure_slack = 50.0;  ///< Requests on top.
+    /// After its 50th bad response a bad version must not get requests after this time.
+    millis rollback_delay{5000};
+    millis max_extension{0}; ///< A disturbed store may extend the roll-back by this time.
 };
 
 /// \brief Stage of the router's life.
@@ -101,6 +107,9 @@
     endpoint_notices notices;
     lifecycle_state lifecycle = lifecycle_state::starting;
     std::size_t open_requests = 0;
+    rollout_book rollouts;
+    /// Responses during roll-outs that no relay has counted yet.
+    std::map<service_id, evidence_counts> rollout_evidence;
     /// Set once a stopping router has left all address responses or half of its time has passed: a
     /// request that may take longer is refused, since other routers can complete it.
     std::optional<time_point> completion_limit;
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -40,6 +40,8 @@
 /// their last bytes are still sent.
 constexpr millis delivery_margin{100};
 constexpr std::size_t max_addresses = 64;
+/// On the peer port, for the command rollouts.
+constexpr std::string_view rollouts_path = "/v1/rollouts";
 
 http_limits to_http_limits(const caller_limits& limits)
 {
@@ -93,7 +95,13 @@
                    {
                        http_response response;
                        response.status = 503;
-                       if (replication_)
+                       if (request.target == rollouts_path)
+                       {
+                           response.status = 200;
+                           response.fields.emplace_back("Content-Type", "application/json");
+                           response.body = rollout_service_.describe() + "\n";
+                       }
+                       else if (replication_)
                        {
                            response =
                                co_await replication_->handle_peer_request(std::move(request));
@@ -109,6 +117,7 @@
                           response.body = state_.metrics.render();
                           co_await writer.send(std::move(response));
                       }),
+      rollout_service_(context, state_, *platform_.tables),
       planned_stop_(to_stop_config(settings_.bounds)),
       quarantine_records_(hash64(settings_.name.view()))
 {
@@ -231,6 +240,7 @@
     replication_ =
         std::make_unique<replication_service>(context_, time_, *platform_.tables, settings_.name,
                                               std::move(choice), std::move(callbacks));
+    start_rollouts();
     replication_->start(listed_routers, settings_.first_start);
     peer_service_->on_sighting(
         [this](const prefix_sighting& sighting)
@@ -351,6 +361,11 @@
         gauges.store_calls = replication_->store_calls();
     }
     state_.metrics.set_gauges(gauges);
+    for (const std::pair<const service_id, rollout_record>& entry : state_.rollouts.records())
+    {
+        const traffic_rule* rule = state_.rollouts.rule(entry.first);
+        state_.metrics.set_rollout(entry.first, rule != nullptr ? rule->new_share : 0.0);
+    }
 }
 
 address_answer server::addresses(zone_id zone, region_id region)
--- a/endivestage/serving/server.hpp
+++ b/endivestage/serving/server.hpp
@@ -8,6 +8,7 @@
 #include <endivestage/serving/peer_service.hpp>
 #include <endivestage/serving/replication_service.hpp>
 #include <endivestage/serving/request_service.hpp>
+#include <endivestage/serving/rollout_service.hpp>
 #include <endivestage/serving/settings.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -34,6 +35,11 @@
     /// \returns The zone that a row takes out of service; nothing when the row holds no zone.
     virtual std::optional<zone_id> decode_zone(const replicated_row& row) const = 0;
 
+    /// \returns The order of a roll-out in a row, without a version if the row was deleted, or
+    /// errc::invalid_configuration; nothing when the row holds no such order.
+    virtual std::optional<result<rollout_order>>
+    decode_rollout(const replicated_row& row) const = 0;
+
     /// \returns The endpoint that a row describes, or errc::invalid_configuration.
     virtual result<endpoint_record> decode_endpoint(const replicated_row& row) const = 0;
 
@@ -107,6 +113,8 @@
     void write_quarantine_records(time_point now);
     daemon::awaitable<void> store_quarantine(quarantine_record record);
     daemon::awaitable<void> erase_quarantine(std::uint64_t part);
+    void apply_rollout_order(const replicated_row& row, const result<rollout_order>& order);
+    void start_rollouts();
     void apply_part_report(const part_report& report);
     void update_routers();
     void update_metrics();
@@ -126,6 +134,7 @@
     daemon::http_server metrics_server_;
     std::unique_ptr<peer_service> peer_service_;
     std::unique_ptr<replication_service> replication_;
+    rollout_service rollout_service_;
     std::set<zone_id> zones_out_of_service_;
     planned_stop planned_stop_;
     quarantine_records quarantine_records_;
--- a/endivestage/serving/server_tables.cpp
+++ b/endivestage/serving/server_tables.cpp
@@ -2,7 +2,9 @@
 
 #include <endivestage/daemon/logging.hpp>
 #include <endivestage/serving/quarantine_rows.hpp>
+#include <endivestage/serving/rollout_rows.hpp>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <utility>
@@ -46,14 +48,18 @@
     }
 }
 
-// The routers' table also has records of quarantined parts.
+// The routers' table also has records of quarantined parts and of roll-outs.
 void server::apply_routers(std::span<const replicated_row> rows)
 {
     std::vector<replicated_row> routers;
     for (const replicated_row& row : rows)
     {
         const std::optional<std::uint64_t> part = parse_quarantine_row_key(row.key);
-        if (part)
+        if (parse_rollout_row_key(row.key))
+        {
+            rollout_service_.apply_record(row);
+        }
+        else if (part)
         {
             apply_quarantine_row(*part, row);
         }
@@ -148,6 +154,12 @@
                       {{"zone", *zone}, {"in_service", row.deleted}});
             continue;
         }
+        const std::optional<result<rollout_order>> rollout = platform_.records->decode_rollout(row);
+        if (rollout)
+        {
+            apply_rollout_order(row, *rollout);
+            continue;
+        }
         std::optional<result<route_table>> routes = platform_.records->decode_routes(row);
         if (routes && *routes)
         {
@@ -173,6 +185,44 @@
     }
 }
 
+void server::apply_rollout_order(const replicated_row& row, const result<rollout_order>& order)
+{
+    if (!order)
+    {
+        log_event(log_level::error, "rollout_refused", {{"key", row.key}, order.error()});
+        return;
+    }
+    rollout_service_.apply_order(*order, state_.lifecycle == lifecycle_state::starting);
+}
+
+void server::start_rollouts()
+{
+    rollout_sources sources;
+    sources.is_primary = [this]
+    {
+        return replication_->is_primary() && !stopping_;
+    };
+    sources.is_relaying = [this]
+    {
+        return replication_->is_relaying() || replication_->is_primary();
+    };
+    sources.copy_age = [this]
+    {
+        const std::optional<millis> operations = replication_->age(shared_table::operations);
+        const std::optional<millis> endpoints = replication_->age(shared_table::endpoints);
+        return operations && endpoints ? std::optional<millis>(std::max(*operations, *endpoints))
+                                       : std::nullopt;
+    };
+    sources.send = [this](const router_id& relay, std::string_view counts)
+    {
+        peer_service_->send_rollout_counts(relay, counts);
+    };
+    peer_service_->on_rollout_counts([this](std::uint64_t relay, std::string_view counts)
+                                     { rollout_service_.apply_relay_counts(relay, counts); });
+    replication_->set_rollouts(rollout_service_);
+    rollout_service_.start(std::move(sources));
+}
+
 void server::apply_endpoints(std::span<const replicated_row> rows, bool settling)
 {
     for (const replicated_row& row : rows)
--- a/endivestage/serving/settings.cpp
+++ b/endivestage/serving/settings.cpp
@@ -89,7 +89,10 @@
     double read_optional_number(std::string_view section, std::string_view key, double min_value,
                                 double max_value, double fallback)
     {
-        return daemon::get_object(root_, section).contains(key)
+        const json::object& members = daemon::get_object(root_, section);
+        const auto it = members.find(key);
+        // A platform without the field may render null.
+        return it != members.end() && !it->value().is_null()
                    ? read_number(section, key, min_value, max_value)
                    : fallback;
     }
@@ -130,6 +133,23 @@
     std::vector<settings_fault>& faults_;
 };
 
+void read_rollout_bounds(settings_reader& reader, server_bounds& bounds)
+{
+    const auto read = [&reader](std::string_view key, double max_value, double fallback)
+    {
+        return reader.read_optional_number("bounds", key, 0, max_value, fallback);
+    };
+    const auto read_time = [&read](std::string_view key, millis fallback)
+    {
+        return millis{
+            static_cast<std::int64_t>(read(key, 600000, static_cast<double>(fallback.count)))};
+    };
+    bounds.exposure_share = read("exposure_share", 1, bounds.exposure_share);
+    bounds.exposure_slack = read("exposure_slack", 1e9, bounds.exposure_slack);
+    bounds.rollback_delay = read_time("rollback_ms", bounds.rollback_delay);
+    bounds.max_extension = read_time("max_extension_ms", bounds.max_extension);
+}
+
 } // namespace
 
 settings_outcome parse_server_settings(std::string_view text)
@@ -172,6 +192,7 @@
     settings.bounds.stop_grace = reader.read_seconds("bounds", "stop_grace_s", 1, 600);
     settings.bounds.address_lifetime = std::min(
         reader.read_seconds("bounds", "address_lifetime_s", 0.5, 600), max_address_lifetime);
+    read_rollout_bounds(reader, settings.bounds);
     return outcome;
 }
 
--- a/endivestage/serving/table_client.hpp
+++ b/endivestage/serving/table_client.hpp
@@ -36,6 +36,18 @@
     time_point timestamp; ///< Time of the response on the service's clock.
 };
 
+/// \brief A step of a roll-out, to be stored if nothing has changed since it was decided.
+struct rollout_write
+{
+    service_id service;
+    std::uint64_t order_revision = 0;  ///< Of the order's row.
+    std::uint64_t record_revision = 0; ///< Of the record's row; 0 if there is none yet.
+    std::string record_key;            ///< In the routers' table.
+    std::string record;
+    std::string to;            ///< Told to the operator.
+    std::string_view progress; ///< Told to the operator: "serving", "completed" or "reverted".
+};
+
 /// \brief Client of the platform's table service.
 ///
 /// Errors: errc::stale_view when the service no longer has the changes since a revision;
@@ -60,6 +72,10 @@
     /// \brief Deletes a row.
     virtual daemon::awaitable<std::error_code> erase(shared_table table, std::string key) = 0;
 
+    /// \brief Writes the record and the operator's status of a roll-out, both or neither.
+    /// \returns errc::conflict when the order or the record has changed.
+    virtual daemon::awaitable<std::error_code> write_rollout(rollout_write change) = 0;
+
 protected:
     table_client() = default;
     table_client(const table_client&) = default;
--- a/standin/platform_store.cpp
+++ b/standin/platform_store.cpp
@@ -151,6 +151,20 @@
         co_await writer.send(std::move(response));
         co_return;
     }
+    for (const json::value& entry : daemon::get_array(*parsed, "expected_rev"))
+    {
+        const json::object& fields = entry.as_object();
+        const auto it =
+            rows_.find({daemon::get_text(fields, "table"), daemon::get_text(fields, "key")});
+        const std::uint64_t revision =
+            it == rows_.end() || it->second.deleted ? 0 : it->second.revision;
+        if (revision != daemon::get_unsigned(fields, "row_version"))
+        {
+            response.status = 412;
+            co_await writer.send(std::move(response));
+            co_return;
+        }
+    }
     for (const json::value& entry : daemon::get_array(*parsed, "write"))
     {
         const json::object& fields = entry.as_object();
--- a/tests/daemon_replication_test.cpp
+++ b/tests/daemon_replication_test.cpp
@@ -55,6 +55,11 @@
         co_return std::error_code{};
     }
 
+    daemon::awaitable<std::error_code> write_rollout(rollout_write) override
+    {
+        co_return std::error_code{};
+    }
+
     int feeds = 0;
 
 private:
--- a/tests/daemon_serving_settings_test.cpp
+++ b/tests/daemon_serving_settings_test.cpp
@@ -32,6 +32,21 @@
 
 } // namespace
 
+// Platforms without roll-outs lack these members or render null; a router must start all the same.
+TEST_CASE("bounds of roll-outs are optional")
+{
+    const settings_outcome without = parse_server_settings(good);
+    REQUIRE(without.faults.empty());
+    REQUIRE(without.settings.bounds.exposure_share == 0.1);
+    const std::string set =
+        R"("stop_grace_s":8,"exposure_share":0.05,"rollback_ms":4000,"exposure_slack":null)";
+    const settings_outcome with = parse_server_settings(replace(good, R"("stop_grace_s":8)", set));
+    REQUIRE(with.faults.empty());
+    REQUIRE(with.settings.bounds.exposure_share == 0.05);
+    REQUIRE(with.settings.bounds.exposure_slack == 50.0);
+    REQUIRE(with.settings.bounds.rollback_delay == millis{4000});
+}
+
 TEST_CASE("settings are parsed with their units and unknown members are ignored")
 {
     const settings_outcome outcome = parse_server_settings(good);
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -276,6 +276,11 @@
     rollout_record reverted = record;
     reverted.phase = rollout_phase::reverted;
     REQUIRE(book.set_record(reverted));
+    // Routers act on the decision before the operator is told.
+    REQUIRE(book.is_active(first.service));
+    REQUIRE_FALSE(allows(*book.rule(first.service), "v2"));
+    reverted.announced = true;
+    REQUIRE(book.set_record(reverted));
     REQUIRE_FALSE(book.set_record(record));
     REQUIRE_FALSE(book.is_active(first.service));
     book.set_order(second);
