--- a/endivestage/serving/peer_service.cpp
+++ b/endivestage/serving/peer_service.cpp
@@ -89,9 +89,6 @@
     return datagram;
 }
 
-/// First byte of a datagram with counts of a roll-out. The hash of the sender's id follows.
-constexpr char rollout_counts_tag = 'R';
-
 /// First byte of a datagram with reports about parts of prompts.
 constexpr char part_reports_tag = 'Q';
 constexpr std::size_t part_report_bytes = 21;
@@ -221,13 +218,8 @@
         handle_part_reports(datagram);
         return;
     }
-    if (datagram.starts_with(rollout_counts_tag))
+    if (handle_rollout_counts(datagram))
     {
-        if (datagram.size() > loads_header_bytes && rollout_counts_callback_)
-        {
-            rollout_counts_callback_(boost::endian::load_little_u64(bytes_at(datagram, 1)),
-                                     datagram.substr(loads_header_bytes));
-        }
         return;
     }
     const result<packet> content = decode_packet(datagram);
@@ -359,18 +351,6 @@
     }
 }
 
-void peer_service::send_rollout_counts(const router_id& relay, std::string_view counts)
-{
-    const std::optional<member_update> view = detector_.find(relay);
-    if (view)
-    {
-        std::string datagram(loads_header_bytes, rollout_counts_tag);
-        boost::endian::store_little_u64(bytes_at(datagram, 1), hash64(detector_.self().id.view()));
-        datagram += counts;
-        send_datagram(view->who.host, view->who.udp_port, datagram);
-    }
-}
-
 void peer_service::send_loads(const router_id& relay, std::span<const engine_requests> loads)
 {
     const std::optional<member_update> view = detector_.find(relay);
@@ -503,22 +483,4 @@
     return found;
 }
 
-std::uint64_t peer_service::parse_incarnation(const replicated_row& row)
-{
-    const result<json::object> fields = daemon::parse_json_object(row.data);
-    return fields ? daemon::get_unsigned(*fields, "incarnation") : 0;
-}
-
-std::string peer_service::own_row() const
-{
-    const member& self = detector_.self();
-    json::object row;
-    row["zone"] = self.zone.str();
-    row["host"] = self.host;
-    row["port"] = self.port;
-    row["incarnation"] = self.incarnation;
-    row["weight"] = weight_;
-    return json::serialize(row);
-}
-
 } // namespace endivestage::serving
--- a/endivestage/serving/peer_service.hpp
+++ b/endivestage/serving/peer_service.hpp
@@ -114,6 +114,8 @@
     void handle_sightings(std::string_view datagram);
     void handle_loads(std::string_view datagram);
     void handle_part_reports(std::string_view datagram);
+    /// \returns Whether the datagram holds counts of a roll-out.
+    bool handle_rollout_counts(std::string_view datagram);
     std::vector<relay_peer> choose_gossip_peers();
     void send_datagram(const std::string& host, std::uint16_t port, std::string_view datagram);
     void execute(const membership_actions& actions);
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -361,11 +361,7 @@
         gauges.store_calls = replication_->store_calls();
     }
     state_.metrics.set_gauges(gauges);
-    for (const std::pair<const service_id, rollout_record>& entry : state_.rollouts.records())
-    {
-        const traffic_rule* rule = state_.rollouts.rule(entry.first);
-        state_.metrics.set_rollout(entry.first, rule != nullptr ? rule->new_share : 0.0);
-    }
+    update_rollout_metrics();
 }
 
 address_answer server::addresses(zone_id zone, region_id region)
--- a/endivestage/serving/server.hpp
+++ b/endivestage/serving/server.hpp
@@ -115,6 +115,7 @@
     daemon::awaitable<void> erase_quarantine(std::uint64_t part);
     void apply_rollout_order(const replicated_row& row, const result<rollout_order>& order);
     void start_rollouts();
+    void update_rollout_metrics();
     void apply_part_report(const part_report& report);
     void update_routers();
     void update_metrics();
--- a/endivestage/serving/server_tables.cpp
+++ b/endivestage/serving/server_tables.cpp
@@ -195,6 +195,15 @@
     rollout_service_.apply_order(*order, state_.lifecycle == lifecycle_state::starting);
 }
 
+void server::update_rollout_metrics()
+{
+    for (const std::pair<const service_id, rollout_record>& entry : state_.rollouts.records())
+    {
+        const traffic_rule* rule = state_.rollouts.rule(entry.first);
+        state_.metrics.set_rollout(entry.first, rule != nullptr ? rule->new_share : 0.0);
+    }
+}
+
 void server::start_rollouts()
 {
     rollout_sources sources;
--- a/tests/daemon_rollout_test.cpp
+++ b/tests/daemon_rollout_test.cpp
@@ -229,26 +229,46 @@
     REQUIRE(f.engines[2]->received().size() == before);
 }
 
-// Counts of a router that does not decide itself must reach the one that does.
-TEST_CASE("failures that only a follower sees revert a version")
+// Counts of routers that do not decide must reach the one that does: those of a relay by datagrams,
+// those of a follower by its polls.
+TEST_CASE("failures that only another router sees revert a version")
 {
     versioned_fleet f;
     f.start_router();
     serving::server_settings other;
-    const std::unique_ptr<serving::server> second =
-        f.start_second_router(name_below(f.settings.name), other);
-    const daemon::network_address readiness = other.readiness;
-    f.settings.callers = other.callers;
+    serving::server_settings third;
+    const router_id name = name_below(f.settings.name);
+    const std::unique_ptr<serving::server> second = f.start_second_router(name, other);
+    std::unique_ptr<serving::server> follower;
+    bool relaying = true;
+    SECTION("a relay") {}
+    SECTION("a follower")
+    {
+        relaying = false;
+        follower = f.start_second_router(router_id("r9"), third);
+    }
     f.add_version("new-1", "v2", fail);
+    const std::string wanted = relaying ? "endivestage_relaying 1" : "endivestage_relaying 0";
     f.run(
         [&]() -> awaitable<void>
         {
-            for (http_response ready; ready.status != 200;)
+            co_await f.pause(3000); // The routers find out which others live.
+            std::vector<serving::server_settings> others{other};
+            if (follower)
+            {
+                others = {f.settings, other, third};
+            }
+            bool found = false;
+            for (const serving::server_settings& candidate : others)
             {
-                ready = co_await f.get(readiness, "/v1/readyz");
-                co_await f.pause(20);
+                const http_response metrics = co_await f.get(candidate.metrics, "/metrics");
+                if (metrics.body.find(wanted) != std::string::npos)
+                {
+                    found = true;
+                    f.settings.callers = candidate.callers;
+                }
             }
-            co_await f.pause(2500); // The second router finds out which routers live.
+            CHECK(found);
             f.order("v2", 5);
             f.start_callers();
             co_await f.wait_decided();
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -306,6 +306,7 @@
         states.push_back(make_endpoint("new" + std::to_string(n), "v2"));
     }
     std::vector<const endpoint_state*> endpoints;
+    endpoints.reserve(states.size());
     for (const endpoint_state& state : states)
     {
         endpoints.push_back(&state);
