Keep a completed version's requests when it is ordered again

Cause: a second order for the version in force took its requests away until the first record was read, and there may be no other endpoints. Change: such a roll-out begins as completed, and the writer announces it. Before: the version gets nothing for some hundred ms, then a small share. After: build/rollout_test passes with the case. Conclusion: orders can be repeated.

--- a/endivestage/rollout/record.cpp
+++ b/endivestage/rollout/record.cpp
@@ -64,6 +64,13 @@
             record.excluded.insert(previous->to);
         }
     }
+    if (previous != nullptr && previous->phase == rollout_phase::completed &&
+        previous->to == order.to)
+    {
+        // The version has all requests already, and there may be no other endpoints.
+        record.phase = rollout_phase::completed;
+        record.share = 1.0;
+    }
     record.excluded.erase(order.to);
     if (record.base == order.to)
     {
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -293,6 +293,18 @@
     REQUIRE_FALSE(allows(*book.rule(first.service), "v1"));
     REQUIRE_FALSE(allows(*book.rule(first.service), "v2"));
     REQUIRE(allows(*book.rule(first.service), "v3"));
+    // The same version again: it keeps its requests, and the writer answers the order.
+    const rollout_order again{service_id("pool"), "v3", millis{12000}, 11};
+    book.set_order(again);
+    REQUIRE(allows(*book.rule(first.service), "v3"));
+    next.row_revision = 12;
+    const rollout_record kept = begin_rollout(again, &next, {});
+    rollout_controller controller({});
+    REQUIRE_FALSE(controller.decide(again, kept, {}, {0}));
+    const std::optional<rollout_record> answer = controller.decide(again, kept, {}, {1000});
+    REQUIRE(answer);
+    REQUIRE(answer->announced);
+    REQUIRE(book.set_record(*answer));
 }
 
 // A chat that changes its version with each request loses its cached history.
