--- a/endivestage/serving/peer_service.cpp
+++ b/endivestage/serving/peer_service.cpp
@@ -196,6 +196,10 @@
         handle_part_reports(datagram);
         return;
     }
+    if (handle_rollout_counts(datagram))
+    {
+        return;
+    }
     const result<packet> content = decode_packet(datagram);
     if (content)
     {
@@ -441,22 +445,4 @@
     return found;
 }
 
-std::uint64_t peer_service::parse_incarnation(const replicated_row& row)
-{
-    const result<json::object> fields = daemon::parse_json_object(row.data);
-    return fields ? daemon::get_unsigned(*fields, "incarnation") : 0;
-}
-
-std::string peer_service::own_row() const
-{
-    const member& self = detector_.self();
-    json::object row;
-    row["zone"] = self.zone.str();
-    row["host"] = self.host;
-    row["port"] = self.port;
-    row["incarnation"] = self.incarnation;
-    row["weight"] = weight_;
-    return json::serialize(row);
-}
-
 } // namespace endivestage::serving
--- a/endivestage/serving/peer_service.hpp
+++ b/endivestage/serving/peer_service.hpp
@@ -87,6 +87,15 @@
         sums_callback_ = std::move(callback);
     }
 
+    /// \brief Sends another relay the counts of this relay's followers during roll-outs.
+    void send_rollout_counts(const router_id& relay, std::string_view counts);
+
+    /// \brief Sets the callback for such counts; its first argument is the hash of the sender's id.
+    void on_rollout_counts(std::function<void(std::uint64_t, std::string_view)> callback)
+    {
+        rollout_counts_callback_ = std::move(callback);
+    }
+
     /// \brief Sets the callback for changes of the set of routers or of their state.
     void on_change(std::function<void()> callback) { change_callback_ = std::move(callback); }
 
@@ -104,6 +113,8 @@
     void handle_datagram(std::string_view datagram);
     void handle_sightings(std::string_view datagram);
     void handle_part_reports(std::string_view datagram);
+    /// \returns Whether the datagram holds counts of a roll-out.
+    bool handle_rollout_counts(std::string_view datagram);
     std::vector<relay_peer> choose_gossip_peers();
     void send_datagram(const std::string& host, std::uint16_t port, std::string_view datagram);
     void execute(const membership_actions& actions);
@@ -123,6 +134,7 @@
     std::function<void(const prefix_sighting&)> sighting_callback_;
     std::function<void(const group_sums&)> sums_callback_;
     std::function<void(const part_report&)> part_report_callback_;
+    std::function<void(std::uint64_t, std::string_view)> rollout_counts_callback_;
     std::uint64_t bytes_sent_ = 0;
 };
 
--- a/endivestage/serving/router_metrics.hpp
+++ b/endivestage/serving/router_metrics.hpp
@@ -58,6 +58,11 @@
     /// \param wait Time for which a request waited for room at its service.
     void record_room_wait(millis wait);
     void record_connection(bool success);
+    /// \brief Counts a response during a roll-out.
+    void record_rollout_response(bool new_version, bool failed);
+    void record_rollout_write(bool success);
+    /// \param share Part of the service's requests that the ordered version gets.
+    void set_rollout(const service_id& service, double share);
     /// \param delay How late a timer of the event loop was handled.
     void record_loop_delay(millis delay);
     /// \brief Sets how many waits for the tables of the starting router have ended in one way.
