--- a/endivestage/routing.hpp
+++ b/endivestage/routing.hpp
@@ -15,6 +15,7 @@
 ///  - quarantine_records (routing/quarantine_records.hpp): who stores these parts for restarts
 ///  - may_act (routing/staggering.hpp): which routers do work first that any of them can do
 ///  - buffer_budget (routing/buffer_budget.hpp): memory for answers that are being read
+///  - request_memory (routing/request_memory.hpp): memory for requests of callers
 ///  - time_estimator (routing/time_estimate.hpp): when an endpoint would answer a request
 ///  - remote_clock, freshness_lease (routing/freshness_lease.hpp): how long table copies are valid
 #pragma once
@@ -29,6 +30,7 @@
 #include <endivestage/routing/prefix_directory.hpp>
 #include <endivestage/routing/prompt_quarantine.hpp>
 #include <endivestage/routing/quarantine_records.hpp>
+#include <endivestage/routing/request_memory.hpp>
 #include <endivestage/routing/route_table.hpp>
 #include <endivestage/routing/send_limits.hpp>
 #include <endivestage/routing/staggering.hpp>
