Bound the memory and the descriptors that callers use

Change: daemon/request_reader reads requests within request_memory (3/8 of memory_mb): announced lengths are reserved from the head, chunked bodies double their reservation. Without memory the reader stops for at most 700 ms, then the request is refused with 503; unfinished slow bodies are evicted with 408. Attempts share one body, released after the first event unless the route is resumable. Refused connections are closed without reading on. The kernel keeps at most 64 KB for a caller connection.

--- a/cmake/process_tests.cmake
+++ b/cmake/process_tests.cmake
@@ -14,6 +14,12 @@
 add_test(NAME soak_short COMMAND "${CMAKE_SOURCE_DIR}/scripts/soak" --first 1 --runs 3 --jobs 3 --known-red 1:recovery --
          --planned-ms 5000 --faults-ms 3000)
 list(APPEND process_tests soak_short)
+# One test per set of callers; see the script.
+foreach(case whole pieces announced endless large_chunks small_chunks extensions all mixed)
+  add_test(NAME caller_memory_${case}
+           COMMAND "${CMAKE_SOURCE_DIR}/tests/caller_memory.py" "${CMAKE_BINARY_DIR}/endivestage" ${case})
+  list(APPEND process_tests caller_memory_${case})
+endforeach()
 set_tests_properties(${process_tests} PROPERTIES
   ENVIRONMENT "BUILD=${CMAKE_BINARY_DIR};ENDIVESTAGE_NET=${PROCESS_TEST_NET}"
   RESOURCE_LOCK loopback_fleet RUN_SERIAL TRUE TIMEOUT 300)
--- a/endivestage/daemon/http_connection.cpp
+++ b/endivestage/daemon/http_connection.cpp
@@ -24,6 +24,8 @@
 namespace
 {
 
+using outgoing_request = http::request<http::span_body<const char>>;
+
 constexpr std::size_t read_buffer_bytes = 16384;
 constexpr std::uint64_t answer_limit_bytes = 64ULL * 1024 * 1024;
 /// Received bytes that are not parsed yet. Beast limits heads but not the extensions of chunks.
@@ -46,7 +48,8 @@
     }
 
     static awaitable<void> write(std::shared_ptr<state> self,
-                                 std::shared_ptr<http::request<http::string_body>> message);
+                                 std::shared_ptr<outgoing_request> message,
+                                 std::shared_ptr<const std::string> body);
 
     /// Closes the connection when its time is over; \ref deadline has cancelled its operation.
     void close_if_timed_out(const boost::system::error_code& ec)
@@ -123,21 +126,29 @@
     return state_->refused;
 }
 
-awaitable<void>
-http_connection::state::write(std::shared_ptr<state> self,
-                              std::shared_ptr<http::request<http::string_body>> message)
+awaitable<void> http_connection::state::write(std::shared_ptr<state> self,
+                                              std::shared_ptr<outgoing_request> message,
+                                              std::shared_ptr<const std::string> body)
 {
     boost::system::error_code ec;
     co_await http::async_write(self->stream, *message,
                                asio::redirect_error(asio::use_awaitable, ec));
+    // The coroutine's frame may outlive the connection's use.
+    body.reset();
     self->sending = false;
     self->send_failed = static_cast<bool>(ec);
 }
 
 void http_connection::send(http_request request)
 {
-    std::shared_ptr<http::request<http::string_body>> message =
-        std::make_shared<http::request<http::string_body>>();
+    std::shared_ptr<const std::string> body =
+        std::make_shared<const std::string>(std::move(request.body));
+    send(std::move(request), std::move(body));
+}
+
+void http_connection::send(http_request request, std::shared_ptr<const std::string> body)
+{
+    std::shared_ptr<outgoing_request> message = std::make_shared<outgoing_request>();
     message->version(11);
     message->method_string(request.method);
     message->target(request.target);
@@ -145,17 +156,16 @@
     {
         message->insert(field.first, field.second);
     }
-    const bool has_body =
-        !request.body.empty() || request.method == "POST" || request.method == "PUT";
-    message->body() = std::move(request.body);
+    const bool has_body = !body->empty() || request.method == "POST" || request.method == "PUT";
+    message->body() = beast::span<const char>(body->data(), body->size());
     if (has_body)
     {
-        message->content_length(message->body().size());
+        message->content_length(body->size());
     }
     state_->sending = true;
     state_->send_failed = false;
-    asio::co_spawn(state_->stream.get_executor(), state::write(state_, std::move(message)),
-                   asio::detached);
+    asio::co_spawn(state_->stream.get_executor(),
+                   state::write(state_, std::move(message), std::move(body)), asio::detached);
 }
 
 awaitable<result<http_response>> http_connection::read_head(millis timeout)
--- a/endivestage/daemon/http_connection.hpp
+++ b/endivestage/daemon/http_connection.hpp
@@ -43,6 +43,10 @@
     /// still being sent, since a server may refuse a request before it has read it all.
     void send(http_request request);
 
+    /// \brief The same with a body that is shared instead of copied; that of \p request is ignored.
+    /// \param body Kept until it was sent.
+    void send(http_request request, std::shared_ptr<const std::string> body);
+
     /// \brief Reads status and fields of the next answer.
     awaitable<result<http_response>> read_head(millis timeout);
 
--- a/endivestage/daemon/http_server.cpp
+++ b/endivestage/daemon/http_server.cpp
@@ -1,6 +1,7 @@
 #include <endivestage/daemon/http_server.hpp>
 #include <endivestage/daemon/logging.hpp>
 #include <endivestage/daemon/process_clock.hpp>
+#include <endivestage/daemon/request_reader.hpp>
 #include <endivestage/daemon/socket_deadline.hpp>
 
 #include <algorithm>
@@ -42,17 +43,17 @@
            "\",\"execution\":\"not_run\"}}\n";
 }
 
-using connection_stream = beast::tcp_stream;
-
 constexpr std::size_t first_read_bytes = 4096;
-
-/// \returns The bytes that a connection may buffer.
-/// \param held Bytes of the next request that were read under older limits.
-std::size_t buffer_bytes(const http_limits& limits, std::size_t held)
-{
-    // A smaller buffer would make a read throw, whatever the limits of a request are.
-    return held + std::max(first_read_bytes, limits.header_bytes + limits.body_bytes);
-}
+/// Time for a caller to read a refusal before its connection is closed with the rest unread.
+constexpr std::chrono::milliseconds refusal_time{250};
+/// Connections beyond the limit that get a refusal; further ones are closed at once.
+constexpr std::size_t max_refused_connections = 32;
+/// Retry delay when memory is short. Unfinished requests below the minimum rate are gone by then.
+constexpr std::string_view retry_after_short_memory = "0.25";
+constexpr millis memory_log_interval{1000};
+/// Bytes that the kernel keeps for a connection while the router does not read. They count as the
+/// process's memory; by default the kernel keeps up to 6 MB.
+constexpr int receive_buffer_bytes = 32768;
 
 /// Why a connection ended.
 enum class close_reason
@@ -242,10 +243,11 @@
 
 struct http_server::state : std::enable_shared_from_this<http_server::state>
 {
-    state(asio::io_context& c, http_limits l, http_handler h)
+    state(asio::io_context& c, http_limits l, http_handler h, request_memory* m)
         : context(c),
           limits(l),
           handler(std::move(h)),
+          memory(m),
           acceptor(asio::make_strand(c))
     {
     }
@@ -275,12 +277,16 @@
     awaitable<std::optional<close_reason>>
     handle(connection_stream& stream, socket_deadline& deadline, beast::flat_buffer& buf);
     awaitable<void> refuse(connection_stream& stream, int status, errc code) const;
-    awaitable<void> refuse_malformed(connection_stream& stream,
-                                     const boost::system::error_code& ec) const;
+    awaitable<void> refuse_incomplete(connection_stream& stream, const read_failure& failure);
+    void log_short_memory(const read_failure& failure);
+    bool close_longest_idle();
 
     asio::io_context& context;
     http_limits limits;
     http_handler handler;
+    request_memory* memory;
+    time_point memory_logged;
+    std::uint64_t unlogged_refusals = 0;
     tcp::acceptor acceptor;
     std::uint16_t port = 0;
     std::atomic<std::size_t> connections{0};
@@ -335,12 +341,18 @@
     }
 }
 
+// Sends the refusal and reads nothing more: what the caller still sends stays in the kernel until
+// the connection is closed.
 awaitable<void> http_server::state::refuse(connection_stream& stream, int status, errc code) const
 {
     http::response<http::string_body> message;
     message.version(11);
     message.result(static_cast<unsigned>(status));
     message.set(http::field::content_type, "application/json");
+    if (status == 503)
+    {
+        message.set(http::field::retry_after, retry_after_short_memory);
+    }
     message.body() = error_body(code);
     message.keep_alive(false);
     message.prepare_payload();
@@ -348,27 +360,73 @@
     stream.expires_after(std::chrono::seconds(2));
     co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, ec));
     stream.socket().shutdown(tcp::socket::shutdown_send, ec);
-    // Unread input would make the kernel reset the connection and drop the answer.
-    char discard[4096];
-    for (int n = 0; n < 256 && !ec; ++n)
+    // Closing with unread input makes the kernel reset the connection and drop the answer.
+    asio::steady_timer delay(stream.get_executor(), refusal_time);
+    co_await delay.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+awaitable<void> http_server::state::refuse_incomplete(connection_stream& stream,
+                                                      const read_failure& failure)
+{
+    if (failure.kind == read_failure::cause::connection)
     {
-        co_await stream.async_read_some(asio::buffer(discard),
-                                        asio::redirect_error(asio::use_awaitable, ec));
+        co_return;
     }
+    if (failure.kind == read_failure::cause::too_large)
+    {
+        co_await refuse(stream, 413, errc::too_large);
+        co_return;
+    }
+    if (failure.kind == read_failure::cause::malformed)
+    {
+        co_await refuse(stream, 400, errc::invalid_request);
+        co_return;
+    }
+    log_short_memory(failure);
+    const bool evicted = failure.kind == read_failure::cause::evicted;
+    co_await refuse(stream, evicted ? 408 : 503, errc::overloaded);
 }
 
-awaitable<void> http_server::state::refuse_malformed(connection_stream& stream,
-                                                     const boost::system::error_code& ec) const
+void http_server::state::log_short_memory(const read_failure& failure)
 {
-    if (ec == http::error::end_of_stream || ec == beast::error::timeout ||
-        ec.category() == asio::error::get_system_category() ||
-        ec.category() == asio::error::get_misc_category())
+    ++unlogged_refusals;
+    const time_point now = time.now();
+    if (now - memory_logged < memory_log_interval)
     {
-        co_return;
+        return;
+    }
+    memory_logged = now;
+    log_event(log_level::warning, "request_memory_short",
+              {{"refused", std::exchange(unlogged_refusals, 0)},
+               {"evicted", failure.kind == read_failure::cause::evicted},
+               {"bytes", memory->in_use()},
+               {"capacity", memory->capacity()},
+               {"unfinished", memory->unfinished()}});
+}
+
+// Returns whether there was one.
+bool http_server::state::close_longest_idle()
+{
+    const std::lock_guard<std::mutex> lock(idle_mutex);
+    idle_connection* longest = nullptr;
+    for (std::pair<const std::uint64_t, idle_connection>& entry : idle)
+    {
+        idle_connection& waiting = entry.second;
+        if (waiting.cancelled != close_reason::overloaded &&
+            (longest == nullptr || waiting.since < longest->since))
+        {
+            longest = &waiting;
+        }
     }
-    const bool large = ec == http::error::header_limit || ec == http::error::body_limit ||
-                       ec == http::error::buffer_overflow;
-    co_await refuse(stream, large ? 413 : 400, large ? errc::too_large : errc::invalid_request);
+    if (longest == nullptr)
+    {
+        return false;
+    }
+    longest->cancelled = close_reason::overloaded;
+    connection_stream* stream = longest->stream;
+    boost::system::error_code ec;
+    stream->socket().cancel(ec);
+    return true;
 }
 
 // Waits for the first byte, so that a connection without a request can be told from one that is in
@@ -422,48 +480,25 @@
                                                                   beast::flat_buffer& buf)
 {
     const time_point received = time.now();
-    http::request_parser<http::string_body> parser;
     http_limits in_force;
     {
         const std::lock_guard<std::mutex> lock(idle_mutex);
         in_force = limits;
     }
-    buf.max_size(buffer_bytes(in_force, buf.size()));
-    parser.header_limit(static_cast<std::uint32_t>(in_force.header_bytes));
-    parser.body_limit(in_force.body_bytes);
-    boost::system::error_code ec;
     stream.expires_never();
-    deadline.start(in_force.request, socket_deadline::direction::read);
-    co_await http::async_read_header(stream, buf, parser,
-                                     asio::redirect_error(asio::use_awaitable, ec));
-    if (!ec && beast::iequals(parser.get()[http::field::expect], "100-continue"))
+    request_reader reader(stream, deadline, buf, in_force, memory);
+    const std::optional<read_failure> failure = co_await reader.read();
+    if (failure)
     {
-        http::response<http::empty_body> proceed(http::status::continue_, 11);
-        co_await http::async_write(stream, proceed, asio::redirect_error(asio::use_awaitable, ec));
-    }
-    if (!ec)
-    {
-        co_await http::async_read(stream, buf, parser,
-                                  asio::redirect_error(asio::use_awaitable, ec));
-    }
-    deadline.stop();
-    if (ec)
-    {
-        co_await refuse_malformed(stream, ec);
+        reader.release();
+        co_await refuse_incomplete(stream, *failure);
         co_return close_reason::incomplete;
     }
-    http::request<http::string_body> message = parser.release();
-    http_request request;
+    const bool keep_alive = reader.keep_alive();
+    http_request request = reader.take();
     request.received = received;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto& field : message)
-    {
-        request.fields.emplace_back(field.name_string(), field.value());
-    }
-    request.body = std::move(message.body());
-    std::shared_ptr<connection_writer> writer = std::make_shared<connection_writer>(
-        stream, in_force.write, message.keep_alive(), accepting);
+    std::shared_ptr<connection_writer> writer =
+        std::make_shared<connection_writer>(stream, in_force.write, keep_alive, accepting);
     requests.fetch_add(1);
     bool failed = false;
     try
@@ -529,9 +564,12 @@
 awaitable<close_reason> http_server::state::serve_requests(connection_stream& stream,
                                                            std::uint64_t& handled)
 {
-    if (connections > limits.connections)
+    if (connections > limits.connections && !close_longest_idle())
     {
-        co_await refuse(stream, 503, errc::overloaded);
+        if (connections <= limits.connections + max_refused_connections)
+        {
+            co_await refuse(stream, 503, errc::overloaded);
+        }
         co_return close_reason::overloaded;
     }
     const std::uint64_t connection = last_connection.fetch_add(1) + 1;
@@ -541,7 +579,7 @@
     waiting.stream = &stream;
     waiting.timer = &idle_timer;
     waiting.accepted = time.now();
-    beast::flat_buffer buf(buffer_bytes(limits, 0));
+    beast::flat_buffer buf(first_read_bytes);
     for (;;)
     {
         std::optional<close_reason> end = co_await await_request(connection, waiting, buf);
@@ -558,8 +596,9 @@
     }
 }
 
-http_server::http_server(asio::io_context& context, http_limits limits, http_handler handler)
-    : state_(std::make_shared<state>(context, limits, std::move(handler)))
+http_server::http_server(asio::io_context& context, http_limits limits, http_handler handler,
+                         request_memory* memory)
+    : state_(std::make_shared<state>(context, limits, std::move(handler), memory))
 {
 }
 
@@ -581,6 +620,12 @@
     {
         state_->acceptor.set_option(asio::socket_base::reuse_address(true), ec);
     }
+    if (!ec && state_->memory != nullptr)
+    {
+        // Accepted sockets inherit it; set later, the first window would be larger.
+        state_->acceptor.set_option(asio::socket_base::receive_buffer_size(receive_buffer_bytes),
+                                    ec);
+    }
     if (!ec)
     {
         state_->acceptor.bind(endpoint, ec);
--- a/endivestage/daemon/http_server.hpp
+++ b/endivestage/daemon/http_server.hpp
@@ -53,6 +53,8 @@
 {
     std::size_t header_bytes = 16384;
     std::size_t body_bytes = 4194304;
+    /// Beyond it, idle connections are closed, the one that is idle the longest first; without any,
+    /// new connections are refused.
     std::size_t connections = 20000;
     millis idle{75000};    ///< Time for the first byte of a request to arrive.
     millis request{75000}; ///< Time from its first byte for a complete request to arrive.
@@ -67,7 +69,10 @@
 class http_server
 {
 public:
-    http_server(boost::asio::io_context& context, http_limits limits, http_handler handler);
+    /// \param memory Budget for the requests; must outlive the server, whose io_context must then
+    /// be run by one thread. Null for no budget.
+    http_server(boost::asio::io_context& context, http_limits limits, http_handler handler,
+                request_memory* memory = nullptr);
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
--- a/endivestage/daemon/http_types.hpp
+++ b/endivestage/daemon/http_types.hpp
@@ -4,9 +4,11 @@
 
 #include <endivestage/core/clock.hpp>
 #include <endivestage/daemon/network_address.hpp>
+#include <endivestage/routing/request_memory.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -33,6 +35,8 @@
     http_fields fields;
     std::string body;
     time_point received; ///< Server only: when the first byte of the request was read.
+    /// Server only: memory that the request takes while it is kept; null without a budget.
+    std::shared_ptr<request_reservation> memory;
 };
 
 /// \brief A complete answer.
--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -29,6 +29,21 @@
 /// Retry delay when endpoints refuse requests; they must complete some of their work first.
 constexpr millis retry_after_overload{250};
 
+/// A body and its part of the memory of requests.
+struct kept_body
+{
+    std::string bytes;
+    std::shared_ptr<request_reservation> memory;
+};
+
+std::shared_ptr<const std::string> keep_body(http_request& request)
+{
+    const std::shared_ptr<kept_body> kept = std::make_shared<kept_body>();
+    kept->bytes = std::move(request.body);
+    kept->memory = std::move(request.memory);
+    return {kept, &kept->bytes};
+}
+
 } // namespace
 
 exchange::exchange(boost::asio::any_io_executor executor, router_state& state, http_request request,
@@ -36,6 +51,7 @@
     : executor_(std::move(executor)),
       state_(state),
       request_(std::move(request)),
+      body_(keep_body(request_)),
       decoded_(std::move(decoded)),
       caller_(caller),
       response_share_(state.response_memory)
--- a/endivestage/serving/exchange.hpp
+++ b/endivestage/serving/exchange.hpp
@@ -71,7 +71,10 @@
 
     boost::asio::any_io_executor executor_;
     router_state& state_;
-    http_request request_;
+    http_request request_; ///< Its body is in \ref body_.
+    /// Body for the attempts, with its part of the memory of requests. Null once no other attempt
+    /// may follow.
+    std::shared_ptr<const std::string> body_;
     caller_request decoded_;
     daemon::response_writer& caller_;
     std::shared_ptr<const route_table> routes_;
--- a/endivestage/serving/exchange_attempt.cpp
+++ b/endivestage/serving/exchange_attempt.cpp
@@ -124,7 +124,7 @@
     ++history_.sends;
     response_share_.release();
     beyond_first_event_ = false;
-    connection_->send(state_.codec.encode_request(request_, info));
+    connection_->send(state_.codec.encode_request(request_, info), body_);
     const endpoint_outcome outcome = co_await read_response(endpoint, max_wait);
     if (outcome != endpoint_outcome::shed && outcome != endpoint_outcome::misdirected)
     {
--- a/endivestage/serving/exchange_response.cpp
+++ b/endivestage/serving/exchange_response.cpp
@@ -104,6 +104,10 @@
     if (!history_.response_started)
     {
         history_.response_started = true;
+        if (route_->semantics != execution_semantics::resumable)
+        {
+            body_.reset();
+        }
         http_response head = state_.codec.encode_response(response_.head);
         const std::error_code ec = co_await caller_.begin(std::move(head));
         if (ec)
--- a/endivestage/serving/router_metrics.cpp
+++ b/endivestage/serving/router_metrics.cpp
@@ -85,6 +85,17 @@
               static_cast<double>(values.notices));
     set_gauge("endivestage_response_bytes", "Bytes of answers that are being read.",
               static_cast<double>(values.response_bytes));
+    set_gauge("endivestage_request_bytes", "Bytes reserved for requests of callers.",
+              static_cast<double>(values.request_bytes));
+    set_gauge("endivestage_unfinished_request_bytes",
+              "Bytes reserved for requests that have not arrived whole.",
+              static_cast<double>(values.unfinished_request_bytes));
+    set_gauge("endivestage_caller_connections", "Open connections of callers.",
+              static_cast<double>(values.caller_connections));
+    registry_
+        .get_counter("endivestage_evicted_requests_total",
+                     "Unfinished requests that gave their memory to others.")
+        .raise_to(values.evicted_requests);
     set_gauge("endivestage_config_version", "Version of the configuration in force.",
               static_cast<double>(values.config_version));
     set_gauge("endivestage_copy_age_seconds",
--- a/endivestage/serving/router_metrics.hpp
+++ b/endivestage/serving/router_metrics.hpp
@@ -24,7 +24,11 @@
     std::uint64_t store_calls = 0;     ///< Calls to the table service since start.
     std::size_t quarantined_parts = 0; ///< Parts of prompts that are kept from engines.
     std::size_t notices = 0; ///< Endpoints that said of themselves that they want no requests.
-    std::size_t response_bytes = 0; ///< Memory of answers that are being read.
+    std::size_t response_bytes = 0;           ///< Memory of answers that are being read.
+    std::size_t request_bytes = 0;            ///< Memory of requests of callers.
+    std::size_t unfinished_request_bytes = 0; ///< The part of requests that have not arrived whole.
+    std::size_t caller_connections = 0;
+    std::uint64_t evicted_requests = 0; ///< Since start.
     millis copy_age{-1};           ///< Age of the operator's table; negative before the first copy.
     millis endpoints_copy_age{-1}; ///< Age of the endpoints' table; negative before the first copy.
     bool relaying = false;
--- a/endivestage/serving/router_state.hpp
+++ b/endivestage/serving/router_state.hpp
@@ -75,6 +75,10 @@
     /// Answers that are being read take at most this part of the host's memory. Strings that grow
     /// take twice their size for a moment, and requests take memory too.
     static constexpr std::size_t response_memory_divisor = 4;
+    /// Requests of callers take at most 3 of 8 parts of the host's memory. The rest is for the
+    /// process itself, its tables and other routers.
+    static constexpr std::size_t request_memory_parts = 3;
+    static constexpr std::size_t request_memory_divisor = 8;
     /// A stale copy is refreshed this long before it can no longer be used.
     static constexpr millis lease_reserve{600};
 
@@ -93,6 +97,7 @@
     router_metrics metrics;
     connection_pool pool;
     buffer_budget response_memory{default_host_memory / response_memory_divisor};
+    std::unique_ptr<request_memory> request_bytes; ///< Memory of requests of callers.
     prefix_directory prefixes;
     std::vector<prefix_sighting> pending_sightings; ///< Sightings not yet sent to other routers.
     prompt_quarantine quarantine;
--- a/endivestage/serving/run_server.cpp
+++ b/endivestage/serving/run_server.cpp
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iterator>
+#include <malloc.h>
 #include <optional>
 
 namespace endivestage::serving
@@ -24,6 +25,8 @@
 
 /// The file is polled, since a platform may replace it without sending a signal.
 constexpr std::chrono::milliseconds file_check_interval{1000};
+/// Blocks of this size or larger are returned to the operating system when they are freed.
+constexpr int large_block_bytes = 65536;
 
 std::optional<std::string> read_file(const std::string& name)
 {
@@ -135,6 +138,9 @@
     }
     // Writing to a closed connection is reported as an error of the write.
     std::signal(SIGPIPE, SIG_IGN);
+    // Otherwise glibc raises the limit with the first large body that is freed; later ones then
+    // share the heap with small blocks, and their memory is not returned.
+    mallopt(M_MMAP_THRESHOLD, large_block_bytes);
     asio::io_context context(1);
     // By default these signals kill the process, with connections that were accepted meanwhile.
     // They are queued from here on and handled once the router has started.
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -6,6 +6,9 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <limits>
+#include <memory>
+#include <sys/resource.h>
 #include <utility>
 
 namespace endivestage::serving
@@ -41,9 +44,44 @@
 constexpr millis delivery_margin{100};
 constexpr std::size_t max_addresses = 64;
 
-http_limits to_http_limits(const caller_limits& limits)
+/// Descriptors that connections of callers never take: files, listeners, the store and peers.
+constexpr std::size_t reserved_descriptors = 200;
+/// A request needs one descriptor for its caller and one for its endpoint.
+constexpr std::size_t descriptors_per_connection = 2;
+/// Memory by which the number of connections is limited: a connection whose bytes the router does
+/// not read yet has up to this much in the kernel.
+constexpr std::size_t connection_bytes = 65536;
+constexpr std::size_t min_connections = 16;
+
+std::size_t max_connections(const server_settings& settings)
+{
+    std::size_t descriptors = settings.descriptors.value_or(std::numeric_limits<int>::max());
+    rlimit allowed{};
+    if (getrlimit(RLIMIT_NOFILE, &allowed) == 0)
+    {
+        descriptors = std::min<std::size_t>(descriptors, allowed.rlim_cur);
+    }
+    const std::size_t free =
+        descriptors > reserved_descriptors ? descriptors - reserved_descriptors : 0;
+    const std::size_t connections =
+        std::min({http_limits{}.connections, free / descriptors_per_connection,
+                  settings.memory / connection_bytes});
+    return std::max(min_connections, connections);
+}
+
+request_memory* make_request_memory(router_state& state, std::size_t memory)
+{
+    const std::size_t capacity =
+        memory / router_state::request_memory_divisor * router_state::request_memory_parts;
+    state.request_bytes =
+        std::make_unique<request_memory>(request_memory_config::for_capacity(capacity));
+    return state.request_bytes.get();
+}
+
+http_limits to_http_limits(const caller_limits& limits, const server_settings& settings)
 {
     http_limits converted;
+    converted.connections = max_connections(settings);
     converted.header_bytes = limits.max_header_bytes;
     converted.body_bytes = limits.max_body_bytes;
     // Callers reuse connections up to the idle timeout, some a little longer. The second on top
@@ -70,9 +108,11 @@
       platform_(std::move(platform)),
       state_(time_, *platform_.codec, settings_.bounds, settings_.name),
       request_service_(context.get_executor(), state_),
-      caller_server_(context, to_http_limits({}),
-                     [this](http_request request, response_writer& writer)
-                     { return request_service_.serve(std::move(request), writer); }),
+      caller_server_(
+          context, to_http_limits({}, settings_),
+          [this](http_request request, response_writer& writer)
+          { return request_service_.serve(std::move(request), writer); },
+          make_request_memory(state_, settings_.memory)),
       readiness_server_(context, {},
                         [this](http_request request, response_writer& writer) -> awaitable<void>
                         {
@@ -312,7 +352,7 @@
     log_event(log_level::info, "configuration_adopted",
               {{"version", routes.version()}, {"routes", routes.routes().size()}});
     state_.routes = std::make_shared<const route_table>(std::move(routes));
-    caller_server_.set_limits(to_http_limits(state_.routes->limits()));
+    caller_server_.set_limits(to_http_limits(state_.routes->limits(), settings_));
 }
 
 void server::update_lifecycle()
@@ -339,6 +379,10 @@
     gauges.routers = state_.routers.size();
     gauges.notices = state_.notices.size();
     gauges.response_bytes = state_.response_memory.in_use();
+    gauges.request_bytes = state_.request_bytes->in_use();
+    gauges.unfinished_request_bytes = state_.request_bytes->unfinished_bytes();
+    gauges.evicted_requests = state_.request_bytes->evictions();
+    gauges.caller_connections = caller_server_.open_connections();
     gauges.config_version = state_.routes ? state_.routes->version() : 0;
     gauges.ready = state_.is_ready();
     gauges.quarantined_parts = state_.quarantine.quarantined(time_.now());
--- a/endivestage/serving/settings.cpp
+++ b/endivestage/serving/settings.cpp
@@ -153,6 +153,12 @@
     const double memory_mb = reader.read_optional_number(
         "router", "memory_mb", 16, 1 << 20, static_cast<double>(settings.memory) / bytes_per_mb);
     settings.memory = static_cast<std::size_t>(memory_mb * bytes_per_mb);
+    const double descriptors =
+        reader.read_optional_number("router", "max_descriptors", 300, 1 << 24, 0);
+    if (descriptors > 0)
+    {
+        settings.descriptors = static_cast<std::size_t>(descriptors);
+    }
     settings.first_start = reader.read_flag("router", "first_start");
     settings.callers = reader.read_address("listen", "callers");
     settings.readiness = reader.read_address("listen", "readiness");
--- a/endivestage/serving/settings.hpp
+++ b/endivestage/serving/settings.hpp
@@ -5,6 +5,7 @@
 #include <endivestage/daemon/network_address.hpp>
 #include <endivestage/serving/router_state.hpp>
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,8 @@
     bool first_start = false; ///< The whole fleet starts for the first time.
     double cpu_share = 1.0;   ///< Processor cores that the host grants; may be a fraction.
     std::size_t memory = router_state::default_host_memory; ///< Bytes that the host grants.
+    /// Descriptors that the host grants; by default what the operating system allows the process.
+    std::optional<std::size_t> descriptors;
     server_bounds bounds;
 };
 
