--- a/endivestage/routing.hpp
+++ b/endivestage/routing.hpp
@@ -16,6 +16,7 @@
 ///  - start_hold (routing/start_hold.hpp): requests that wait for the tables of a starting router
 ///  - may_act (routing/staggering.hpp): which routers do work first that any of them can do
 ///  - buffer_budget (routing/buffer_budget.hpp): memory for answers that are being read
+///  - request_memory (routing/request_memory.hpp): memory for requests of callers
 ///  - time_estimator (routing/time_estimate.hpp): when an endpoint would answer a request
 ///  - observed_times (routing/observed_times.hpp): the time_estimator that learns from answers
 ///  - first_event_waits (routing/first_event_waits.hpp): when a first event is late
@@ -34,6 +35,7 @@
 #include <endivestage/routing/prefix_directory.hpp>
 #include <endivestage/routing/prompt_quarantine.hpp>
 #include <endivestage/routing/quarantine_records.hpp>
+#include <endivestage/routing/request_memory.hpp>
 #include <endivestage/routing/route_table.hpp>
 #include <endivestage/routing/send_limits.hpp>
 #include <endivestage/routing/staggering.hpp>
--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -28,6 +28,21 @@
 /// of their work first.
 constexpr millis retry_after_overload{250};
 
+/// A body and its part of the memory of requests.
+struct kept_body
+{
+    std::string bytes;
+    std::shared_ptr<request_reservation> memory;
+};
+
+std::shared_ptr<const std::string> keep_body(http_request& request)
+{
+    const std::shared_ptr<kept_body> kept = std::make_shared<kept_body>();
+    kept->bytes = std::move(request.body);
+    kept->memory = std::move(request.memory);
+    return {kept, &kept->bytes};
+}
+
 } // namespace
 
 exchange::exchange(boost::asio::any_io_executor executor, router_state& state, http_request request,
@@ -35,6 +50,7 @@
     : executor_(std::move(executor)),
       state_(state),
       request_(std::move(request)),
+      body_(keep_body(request_)),
       decoded_(std::move(decoded)),
       caller_(caller),
       response_share_(state.response_memory)
@@ -190,7 +206,7 @@
 {
     watch_caller();
     start_gate::waiting_request waiting;
-    waiting.request.bytes = request_.target.size() + request_.body.size();
+    waiting.request.bytes = request_.target.size() + body_->size();
     for (const std::pair<std::string, std::string>& field : request_.fields)
     {
         waiting.request.bytes += field.first.size() + field.second.size();
