--- a/endivestage/daemon/http_server.cpp
+++ b/endivestage/daemon/http_server.cpp
@@ -1,4 +1,5 @@
 #include <endivestage/daemon/http_server.hpp>
+#include <endivestage/daemon/internal/connection_writer.hpp>
 #include <endivestage/daemon/logging.hpp>
 #include <endivestage/daemon/process_clock.hpp>
 #include <endivestage/daemon/request_reader.hpp>
@@ -32,11 +33,6 @@
 namespace
 {
 
-std::error_code convert(const boost::system::error_code& ec)
-{
-    return ec ? make_error_code(errc::cancelled) : std::error_code{};
-}
-
 std::string error_body(errc code)
 {
     return "{\"error\":{\"code\":\"" + std::string(to_string(code)) +
@@ -92,153 +88,6 @@
     return "failed";
 }
 
-class connection_writer final : public response_writer,
-                                public std::enable_shared_from_this<connection_writer>
-{
-public:
-    /// \param accepting Becomes false when connections must not be kept any longer.
-    connection_writer(connection_stream& stream, millis write_timeout, bool keep_alive,
-                      const std::atomic<bool>& accepting)
-        : stream_(stream),
-          write_timeout_(write_timeout),
-          keep_alive_(keep_alive),
-          accepting_(accepting)
-    {
-    }
-
-    awaitable<std::error_code> send(http_response response) override
-    {
-        stop_watching();
-        http::response<http::string_body> message;
-        fill(message, response);
-        message.body() = std::move(response.body);
-        message.prepare_payload();
-        boost::system::error_code ec;
-        stream_.expires_after(std::chrono::milliseconds(write_timeout_.count));
-        co_await http::async_write(stream_, message, asio::redirect_error(asio::use_awaitable, ec));
-        complete_ = !ec;
-        co_return convert(ec);
-    }
-
-    awaitable<std::error_code> begin(http_response head) override
-    {
-        http::response<http::empty_body> message;
-        fill(message, head);
-        message.chunked(true);
-        http::response_serializer<http::empty_body> serializer(message);
-        boost::system::error_code ec;
-        stream_.expires_after(std::chrono::milliseconds(write_timeout_.count));
-        co_await http::async_write_header(stream_, serializer,
-                                          asio::redirect_error(asio::use_awaitable, ec));
-        co_return convert(ec);
-    }
-
-    awaitable<std::error_code> write(std::string_view chunk) override
-    {
-        boost::system::error_code ec;
-        stream_.expires_after(std::chrono::milliseconds(write_timeout_.count));
-        co_await asio::async_write(stream_,
-                                   http::make_chunk(asio::buffer(chunk.data(), chunk.size())),
-                                   asio::redirect_error(asio::use_awaitable, ec));
-        co_return convert(ec);
-    }
-
-    awaitable<std::error_code> end() override
-    {
-        stop_watching();
-        boost::system::error_code ec;
-        stream_.expires_after(std::chrono::milliseconds(write_timeout_.count));
-        co_await asio::async_write(stream_, http::make_chunk_last(),
-                                   asio::redirect_error(asio::use_awaitable, ec));
-        complete_ = !ec;
-        co_return convert(ec);
-    }
-
-    void abort() override
-    {
-        stop_watching();
-        boost::system::error_code ec;
-        stream_.socket().close(ec);
-    }
-
-    void on_caller_left(std::function<void()> callback) override
-    {
-        // The asynchronous wait completes only after the handler has suspended, and by then the
-        // handler may have sent the request on.
-        if (at_end())
-        {
-            log_disconnect({});
-            callback();
-            return;
-        }
-        caller_left_ = std::move(callback);
-        watch();
-    }
-
-    bool is_complete() const { return complete_; }
-    bool may_reuse() const { return complete_ && keep_alive_; }
-
-    void stop_watching() { caller_left_ = nullptr; }
-
-private:
-    template <class Message>
-    void fill(Message& message, const http_response& response)
-    {
-        keep_alive_ = keep_alive_ && accepting_;
-        message.version(11);
-        message.result(static_cast<unsigned>(response.status));
-        for (const std::pair<std::string, std::string>& field : response.fields)
-        {
-            message.insert(field.first, field.second);
-        }
-        message.keep_alive(keep_alive_);
-    }
-
-    // A caller that closes its connection makes the socket readable with no bytes to read.
-    void watch()
-    {
-        std::shared_ptr<connection_writer> self = shared_from_this();
-        stream_.socket().async_wait(tcp::socket::wait_read,
-                                    [self](const boost::system::error_code& ec)
-                                    {
-                                        if (!self->caller_left_)
-                                        {
-                                            return;
-                                        }
-                                        if (ec || self->at_end())
-                                        {
-                                            self->log_disconnect(ec);
-                                            std::exchange(self->caller_left_, nullptr)();
-                                        }
-                                    });
-    }
-
-    void log_disconnect(const boost::system::error_code& ec)
-    {
-        boost::system::error_code ignored;
-        log_event(log_level::info, "caller_disconnected",
-                  {{"peer", stream_.socket().remote_endpoint(ignored).port()},
-                   {"cause", ec ? ec.message() : std::string("end_of_stream")}});
-    }
-
-    bool at_end()
-    {
-        char byte = 0;
-        boost::system::error_code ec;
-        stream_.socket().non_blocking(true, ec);
-        const std::size_t n =
-            stream_.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
-        return n == 0 && ec != asio::error::would_block;
-    }
-
-    connection_stream& stream_;
-    millis write_timeout_;
-    bool keep_alive_;
-    const std::atomic<bool>& accepting_;
-    bool complete_ = false;
-    std::function<void()> caller_left_;
-};
-
 } // namespace
 
 struct http_server::state : std::enable_shared_from_this<http_server::state>
--- a/endivestage/routing/request_memory.hpp
+++ b/endivestage/routing/request_memory.hpp
@@ -19,11 +19,11 @@
 struct request_memory_config
 {
     std::size_t capacity = 0; ///< For all requests.
-    /// Part that only requests up to \ref small_request may use, so that ordinary ones find memory
+    /// Part that only requests up to small_request may use, so that ordinary ones find memory
     /// beside large bodies.
     std::size_t small_reserve = 0;
     std::size_t small_request = 65536;
-    /// Requests above \ref small_request of one caller address may take this part of what large
+    /// Requests above small_request of one caller address may take this part of what large
     /// requests may use, unless only one of them is open.
     double address_share = 0.75;
     /// A body that arrives at this rate or faster is not evicted for others, in bytes a second.
--- a/endivestage/serving/exchange_waiting.cpp
+++ b/endivestage/serving/exchange_waiting.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
+#include <limits>
 #include <utility>
 
 namespace endivestage::serving
@@ -56,6 +57,60 @@
 
 } // namespace
 
+std::uint32_t exchange::find_priority() const
+{
+    const route* found =
+        state_.routes ? state_.routes->find(decoded_.host, decoded_.path) : nullptr;
+    if (found == nullptr)
+    {
+        return std::numeric_limits<std::uint32_t>::max();
+    }
+    const team_access* team = state_.routes->find_team(decoded_.api_key);
+    const bool keyed = state_.routes->requires_keys() && !found->anonymous;
+    return keyed && team != nullptr ? team->priority.value_or(found->priority) : found->priority;
+}
+
+awaitable<bool> exchange::wait_for_tables()
+{
+    watch_caller();
+    start_gate::waiting_request waiting;
+    waiting.request.bytes = request_.target.size() + body_->size();
+    for (const std::pair<std::string, std::string>& field : request_.fields)
+    {
+        waiting.request.bytes += field.first.size() + field.second.size();
+    }
+    waiting.request.received = request_.received;
+    waiting.request.timeout = decoded_.timeout;
+    waiting.priority = [this]
+    {
+        return find_priority();
+    };
+    waiting.leave = &leave_start_gate_;
+    const unrouted_request request = waiting.request;
+    start_outcome outcome = start_outcome::left;
+    if (!caller_left_)
+    {
+        outcome = co_await state_.start.wait(std::move(waiting));
+    }
+    switch (outcome)
+    {
+    case start_outcome::released:
+        co_return true;
+    case start_outcome::left:
+        end_without_caller();
+        break;
+    case start_outcome::stopped:
+        co_await send_error(503, errc::shutting_down, execution::not_run, retry_after_stop);
+        break;
+    case start_outcome::refused:
+        const millis retry_after =
+            state_.start.hold().retry_after(request, state_.random.next(), state_.time.now());
+        co_await send_error(503, errc::store_unavailable, execution::not_run, retry_after);
+        break;
+    }
+    co_return false;
+}
+
 overload_inputs exchange::load_inputs() const
 {
     return {state_.endpoints, state_.notices, state_.bounds.max_drain_delay, state_.routers.size()};
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -26,23 +26,13 @@
 
 /// Connections whose caller accepts no bytes for this long are closed.
 constexpr millis write_timeout{10000};
-constexpr millis maintenance_interval{250};
-/// Longer delays of the event loop are logged. All requests of this router wait meanwhile.
-constexpr millis logged_loop_delay{100};
 /// Sightings are collected for this long, so that several share a datagram.
 constexpr millis gossip_interval{100};
 /// Routers that have started, or missed a datagram, learn of a quarantine within about this time.
 constexpr millis reminder_interval{1000};
-constexpr millis stop_poll_interval{50};
 constexpr millis join_retry_delay{300};
 /// Time after which the address responses of other routers omit a stopping router.
 constexpr millis leave_propagation_time{500};
-/// The process exits this long before the platform would kill it.
-constexpr millis stop_margin{500};
-/// Requests that are open late in a planned stop end this long before the process exits, so that
-/// their last bytes are still sent.
-constexpr millis delivery_margin{100};
-constexpr std::size_t max_addresses = 64;
 /// On the peer port, for the command rollouts.
 constexpr std::string_view rollouts_path = "/v1/rollouts";
 
@@ -379,161 +369,6 @@
     state_.routers = peer_service_->possible_routers();
 }
 
-void server::update_metrics()
-{
-    router_gauges gauges;
-    gauges.open_requests = state_.open_requests;
-    gauges.idle_connections = state_.pool.size();
-    gauges.waiting_requests = state_.overload.waiting();
-    gauges.endpoints = state_.endpoints.size();
-    gauges.routers = state_.routers.size();
-    gauges.notices = state_.notices.size();
-    gauges.failing_endpoints = state_.endpoints.fleet_failures(time_.now());
-    gauges.response_bytes = state_.response_memory.in_use();
-    gauges.request_bytes = state_.request_bytes->in_use();
-    gauges.unfinished_request_bytes = state_.request_bytes->unfinished_bytes();
-    gauges.evicted_requests = state_.request_bytes->evictions();
-    gauges.caller_connections = caller_server_.open_connections();
-    gauges.config_version = state_.routes ? state_.routes->version() : 0;
-    gauges.ready = state_.is_ready();
-    record_start_gate(state_.start, state_.metrics);
-    if (replication_)
-    {
-        gauges.copy_age = replication_->age(shared_table::operations).value_or(millis{-1});
-        gauges.endpoints_copy_age = replication_->age(shared_table::endpoints).value_or(millis{-1});
-        gauges.relaying = replication_->is_relaying();
-        gauges.primary = replication_->is_primary();
-        gauges.store_calls = replication_->store_calls();
-    }
-    state_.metrics.set_gauges(gauges);
-    update_rollout_metrics();
-}
-
-address_answer server::addresses(zone_id zone, region_id region)
-{
-    std::vector<router_status> routers;
-    if (state_.is_ready() && !stopping_)
-    {
-        router_status self;
-        self.id = settings_.name;
-        self.host = settings_.callers.host;
-        self.port = settings_.callers.port;
-        self.zone = settings_.zone;
-        self.region = settings_.region;
-        self.live = true;
-        routers.push_back(std::move(self));
-    }
-    const std::vector<relay_peer> live =
-        peer_service_ ? peer_service_->live_peers() : std::vector<relay_peer>{};
-    for (const relay_peer& peer : live)
-    {
-        router_status other;
-        other.id = peer.candidate.id;
-        other.host = peer.address.host;
-        other.port = settings_.callers.port;
-        other.zone = peer.candidate.zone;
-        other.region = settings_.region;
-        other.live = true;
-        routers.push_back(std::move(other));
-    }
-    address_query query;
-    query.zone = std::move(zone);
-    query.region = std::move(region);
-    query.rotation = ++rotation_;
-    query.max_entries = max_addresses;
-    query.lifetime = settings_.bounds.address_lifetime;
-    return make_address_answer(routers, query);
-}
-
-void server::record_loop_delay(millis delay)
-{
-    state_.metrics.record_loop_delay(delay);
-    if (delay > logged_loop_delay)
-    {
-        log_event(log_level::warning, "loop_delayed", {{"delay_ms", delay}});
-    }
-}
-
-awaitable<void> server::run_maintenance()
-{
-    for (;;)
-    {
-        const time_point due = time_.now() + maintenance_interval;
-        co_await daemon::sleep_for(maintenance_interval);
-        record_loop_delay(time_.now() - due);
-        state_.pool.expire();
-        daemon::flush_log();
-        for (const endpoint_id& returned : state_.notices.expire(state_.endpoints, time_.now()))
-        {
-            log_event(log_level::info, "endpoint_returned", {{"endpoint", returned}});
-        }
-        for (const endpoint_id& expired : state_.endpoints.expire(time_.now()))
-        {
-            log_event(log_level::info, "endpoint_forgotten", {{"endpoint", expired}});
-        }
-    }
-}
-
-void server::stop()
-{
-    if (stopping_)
-    {
-        return;
-    }
-    stopping_ = true;
-    state_.lifecycle = lifecycle_state::stopping;
-    state_.start.stop();
-    log_event(log_level::info, "stopping", {{"open_requests", state_.open_requests}});
-    if (peer_service_)
-    {
-        peer_service_->leave();
-    }
-    caller_server_.announce_close();
-    asio::co_spawn(context_, shut_down(), asio::detached);
-}
-
-awaitable<void> server::shut_down()
-{
-    const time_point started_at = time_.now();
-    const time_point deadline = started_at + settings_.bounds.stop_grace - stop_margin;
-    planned_stop_.begin(started_at);
-    bool refusing = false;
-    while (time_.now() < deadline)
-    {
-        stop_progress progress;
-        // A connection without a request yet counts too: its request may be on the way.
-        progress.open_requests = caller_server_.open_connections();
-        progress.in_view = false;
-        bool done = false;
-        for (const stop_action action : planned_stop_.tick(progress, time_.now()))
-        {
-            refusing = refusing || action == stop_action::refuse_connections;
-            done = done || action == stop_action::exit;
-        }
-        // Where the stop's time is short, it ends before the address responses have expired.
-        if (refusing || time_.now() - started_at >= settings_.bounds.stop_grace / 2)
-        {
-            state_.completion_limit = deadline - delivery_margin;
-        }
-        if (refusing)
-        {
-            caller_server_.stop_accepting();
-            caller_server_.close_idle();
-        }
-        if (time_.now() >= deadline - delivery_margin)
-        {
-            request_service_.end_open_requests();
-        }
-        if (done)
-        {
-            break;
-        }
-        co_await daemon::sleep_for(stop_poll_interval);
-    }
-    log_event(log_level::info, "stopped", {{"open_requests", state_.open_requests}});
-    context_.stop();
-}
-
 void server::reload(const server_settings& settings)
 {
     settings_.bounds = settings.bounds;
--- a/tests/daemon_overload_test.cpp
+++ b/tests/daemon_overload_test.cpp
@@ -190,6 +190,9 @@
     }
     const endpoint_notices notices(1);
     serving::overload_control control;
+    overload_config config;
+    config.enabled = true;
+    control.set_config(config);
     serving::service_overload& service = *control.service(service_id("plain"));
     service.refresh(service_id("plain"), {directory, notices, millis{2000}, 1}, {10});
     CHECK(service.admission().load().slots == 18.0);
