--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 set -eu
 cd "$(dirname "$0")"
 python3 -c 'import sys; sys.exit(sys.version_info < (3, 9))'
-for file in standins-2/kit.py 6/case.py; do
+for file in standins-2/kit.py [6-9]/case.py; do
     python3 -c 'import ast, sys; ast.parse(open(sys.argv[1], encoding="utf-8").read())' "$file"
 done
--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -15,6 +15,7 @@
 import tempfile
 import threading
 import time
+import traceback
 import urllib.parse
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -142,7 +143,7 @@
         self.rows = {}  # (table, key) -> (data or None, version)
         self.version = 10
         self.changed = threading.Condition()
-        self.delay = lambda peer, target: 0.0  # called for each call; None: no answer at all
+        self.gets = 0  # calls of rows-get
         super().__init__()
 
     def put(self, table, key, value):
@@ -169,9 +170,22 @@
                 else:
                     row["data"] = base64.b64encode(data).decode()
                 rows.append(row)
-        rows.sort(key=lambda row: row["row_version"] if deleted else row["key"])
+        rows.sort(key=lambda row: row["row_version"] if deleted else row["key"].encode())
         return rows
 
+    def page(self, query):
+        """At most 500 rows or 1 MB, in the order of the keys, from the key `source` on."""
+        rows, size, more = [], 0, False
+        for row in self.listed(query["table"], 0, False):
+            if row["key"].encode() < query.get("source", "").encode():
+                continue
+            size += len(row["data"])
+            if len(rows) == min(500, int(query.get("limit", "500"))) or (rows and size > 1_000_000):
+                more = True
+                break
+            rows.append(row)
+        return {"rows": rows, "has_more": more, "row_version": self.version, "now_ms": int(time.monotonic() * 1000)}
+
     def answer(self, method, target, body):
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query))
@@ -190,7 +204,8 @@
                 self.changed.notify_all()
                 rows = []
             elif url.path == "/v1/rows-get":
-                rows = self.listed(query["table"], 0, False)
+                self.gets += 1
+                return 200, self.page(query)
             elif url.path == "/v1/rows-feed":
                 since = int(query["since_rev"])
                 until = time.monotonic() + int(query.get("wait_ms", "0")) / 1000
@@ -325,6 +340,15 @@
         self.send(signal.SIGKILL)
         self.process.wait()
 
+    def memory_mb(self):
+        """Resident memory; the machine's limit is limits.memory_mb of the settings."""
+        try:
+            with open("/proc/%d/status" % self.process.pid, encoding="utf-8") as f:
+                found = re.search(r"VmRSS:\s+(\d+) kB", f.read())
+            return int(found.group(1)) / 1024 if found else 0.0
+        except OSError:
+            return 0.0
+
     def ready(self):
         try:
             status, _, _ = call(self.address, self.readiness, "GET", "/v1/readyz", {"Host": "x"}, timeout=1)
@@ -390,6 +414,7 @@
 
 class Fleet:
     """A store, routers and a temporary folder; all processes end with it."""
+    current = None
 
     def __init__(self, folder, routers=3):
         if not os.path.exists(PROGRAM):
@@ -399,6 +424,8 @@
         self.work = tempfile.mkdtemp(prefix="endivestage-review-")
         self.store = Store()
         self.routers = []
+        Fleet.current = self
+        signal.signal(signal.SIGTERM, lambda *_: self.end(2, "the script was stopped"))
         addresses = ["127.%d.%d.%d" % (10 + os.getpid() // 250 % 200, 1 + os.getpid() % 250, n + 1)
                      for n in range(routers)]
         # All routers use one port for callers and one for peers, as the machines of a day do.
@@ -435,3 +462,15 @@
             shutil.rmtree(self.work, ignore_errors=True)
         sys.stdout.flush()
         os._exit(code)
+
+
+def run(main):
+    """Runs a case; its processes end also when it fails."""
+    try:
+        main()
+    except BaseException:
+        text = traceback.format_exc()
+        if Fleet.current is None:
+            print(text)
+            os._exit(2)
+        Fleet.current.end(2, text)
