--- a/review/7/case.py
+++ b/review/7/case.py
@@ -68,7 +68,9 @@
 
     before = sum(order(number) for number in range(BEFORE))
     answers["sent"] = answers["served"] = 0
-    # All processes are killed at once and started again.
+    # The final fault: a configuration is acknowledged, and all processes are killed.
+    fleet.store.put("op", "config", kit.configuration(6, [kit.route("order", "/order/", "shop-app", "non_idempotent")]))
+    fleet.record("a configuration is acknowledged")
     for router in fleet.routers:
         router.kill()
     fleet.record("all routers are killed")
