--- a/endivestage/daemon/http_types.cpp
+++ b/endivestage/daemon/http_types.cpp
@@ -62,6 +62,11 @@
     return true;
 }
 
+std::string encode_component(std::string_view text)
+{
+    return boost::urls::encode({text.data(), text.size()}, boost::urls::unreserved_chars);
+}
+
 bool parse_network_address(std::string_view text, network_address& parsed)
 {
     const std::size_t colon = text.rfind(':');
--- a/endivestage/daemon/http_types.hpp
+++ b/endivestage/daemon/http_types.hpp
@@ -63,6 +63,9 @@
 /// \returns false when the target is not a valid origin-form target.
 bool parse_target(std::string_view target, http_target& parsed);
 
+/// \brief Percent-encodes a text for use in a path segment or a query value.
+std::string encode_component(std::string_view text);
+
 /// \brief Parses "host:port" with a numeric IPv4 or bracketed IPv6 address.
 /// \returns false when \p text has another form.
 bool parse_network_address(std::string_view text, network_address& parsed);
--- a/endivestage/daemon/remote.cpp
+++ b/endivestage/daemon/remote.cpp
@@ -7,8 +7,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/url/encode.hpp>
-#include <boost/url/rfc/unreserved_chars.hpp>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -47,11 +45,6 @@
 
 } // namespace
 
-std::string encode_component(std::string_view text)
-{
-    return boost::urls::encode({text.data(), text.size()}, boost::urls::unreserved_chars);
-}
-
 result<http_response> call_router(const remote_options& remote, std::string method,
                                   std::string target, std::string body)
 {
--- a/endivestage/daemon/remote.hpp
+++ b/endivestage/daemon/remote.hpp
@@ -17,9 +17,6 @@
 result<http_response> call_router(const remote_options& remote, std::string method,
                                   std::string target, std::string body = {});
 
-/// \brief Percent-encodes a text for use in a path segment or a query value.
-std::string encode_component(std::string_view text);
-
 /// \brief Prints the error of an answer, or of a failed call, on stderr as one line.
 /// \returns The exit code for it.
 int report_failure(const result<http_response>& response);
--- a/standin/platform_store.cpp
+++ b/standin/platform_store.cpp
@@ -24,6 +24,8 @@
 
 constexpr millis poll_interval{5};
 constexpr millis test_horizon{60000};
+constexpr std::size_t max_page_rows = 500;
+constexpr std::size_t max_page_bytes = 1UL * 1024 * 1024;
 
 std::uint64_t parse_number(std::string_view text)
 {
@@ -73,19 +75,27 @@
                        { return entry.first.first == table && entry.second.revision > since; });
 }
 
-std::string platform_store::list_rows(const std::string& table, std::uint64_t since,
-                                      bool with_deleted) const
+std::string platform_store::list_rows(const row_selection& selection) const
 {
+    const bool paged = selection.max_rows > 0;
     json::array rows;
+    std::size_t bytes = 0;
+    bool has_more = false;
     for (const std::pair<const row_key, row>& entry : rows_)
     {
         const row& stored = entry.second;
-        if (entry.first.first != table || stored.revision <= since ||
-            (stored.deleted && !with_deleted))
+        if (entry.first.first != selection.table || stored.revision <= selection.since ||
+            entry.first.second < selection.first_key || (stored.deleted && paged))
         {
             continue;
         }
-        json::object fields{{"table", table},
+        bytes += stored.data.size();
+        if (paged && (rows.size() == selection.max_rows || bytes > max_page_bytes))
+        {
+            has_more = true;
+            break;
+        }
+        json::object fields{{"table", selection.table},
                             {"part", ""},
                             {"key", entry.first.second},
                             {"row_version", stored.revision}};
@@ -101,7 +111,7 @@
     }
     const daemon::process_clock clock;
     return json::serialize(json::object{{"rows", std::move(rows)},
-                                        {"has_more", false},
+                                        {"has_more", has_more},
                                         {"row_version", revision_},
                                         {"now_ms", clock.now().since_epoch}});
 }
@@ -126,7 +136,7 @@
         co_await daemon::sleep_for(poll_interval);
     }
     co_await lose_response(table);
-    response.body = list_rows(table, since, true);
+    response.body = list_rows({table, since, {}, 0});
     co_await writer.send(std::move(response));
 }
 
@@ -218,7 +228,12 @@
         co_return;
     }
     ++lists_;
-    response.body = list_rows(std::string(target.parameter("table")), 0, false);
+    row_selection page{std::string(target.parameter("table")), 0, {}, max_page_rows};
+    if (!faults.repeat_pages)
+    {
+        page.first_key = target.parameter("source");
+    }
+    response.body = list_rows(page);
     co_await writer.send(std::move(response));
 }
 
--- a/standin/platform_store.hpp
+++ b/standin/platform_store.hpp
@@ -24,6 +24,7 @@
     std::string lost_table;            ///< The same for the feed of this table only.
     bool lose_write_responses = false; ///< Apply writes without a response.
     bool drop_history = false;         ///< Respond to the next feed with 410; cleared then.
+    bool repeat_pages = false;         ///< Begin every page of a list with the first row.
 };
 
 /// \brief Store that keeps its rows in memory. Single-threaded.
@@ -47,7 +48,7 @@
     /// \returns Number of calls received so far.
     std::uint64_t calls() const { return calls_; }
 
-    /// \returns Number of calls so far that read all rows of a table.
+    /// \returns Number of calls so far that read the rows of a table or a page of them.
     std::uint64_t lists() const { return lists_; }
 
     /// \returns The decoded data of a row; empty if the row does not exist.
@@ -71,8 +72,17 @@
     /// \brief Waits without end if the response to a call is lost.
     /// \param table The table of a feed; empty for other calls.
     daemon::awaitable<void> lose_response(std::string table) const;
-    /// \returns Rows with a revision above \p since as JSON.
-    std::string list_rows(const std::string& table, std::uint64_t since, bool with_deleted) const;
+    /// \brief Rows to respond with.
+    struct row_selection
+    {
+        std::string table;
+        std::uint64_t since = 0; ///< Only rows with a revision above this one.
+        std::string first_key;
+        std::size_t max_rows = 0; ///< 0 for all rows, deleted ones included, as a feed has them.
+    };
+
+    /// \returns The rows as JSON.
+    std::string list_rows(const row_selection& selection) const;
     bool has_changed(const std::string& table, std::uint64_t since) const;
 
     boost::asio::io_context& context_;
