Encode names of routers and prefixes of keys in URLs

A follower's name in its call to a relay and the prefix of a list of the table went into URLs as they are. A relay takes two followers whose names differ only after an "&" for one, so the loads that they report replace each other. Not seen outside a test, since names come from the settings.

Change: both are percent-encoded.

Before: daemon_replication_test, "a follower tells a relay its whole name", failed: the relay could not read the target. After: passes.

Conclusion: the remaining texts in URLs are numbers, digests and ids that are checked when they arrive.

--- a/endivestage/daemon/platform_client.cpp
+++ b/endivestage/daemon/platform_client.cpp
@@ -286,7 +286,7 @@
 awaitable<result<std::vector<table_row>>> platform_client::rows(std::string prefix)
 {
     const std::shared_ptr<state> self = state_;
-    http_request request = make_request("GET", "/v1/table?prefix=" + prefix);
+    http_request request = make_request("GET", "/v1/table?prefix=" + encode_component(prefix));
     const result<http_response> response =
         co_await http_call(self->addresses.table, std::move(request), self->timeout);
     if (!response || response->status != 200)
--- a/endivestage/serving/replication_relays.cpp
+++ b/endivestage/serving/replication_relays.cpp
@@ -202,7 +202,7 @@
     }
     bool reported = false;
     request.method = "POST";
-    request.target += "&router=" + self_.str();
+    request.target += "&router=" + daemon::encode_component(self_.view());
     if (!relaying_)
     {
         // Relays exchange the sums of their followers' loads instead.
--- a/tests/daemon_replication_test.cpp
+++ b/tests/daemon_replication_test.cpp
@@ -1,5 +1,6 @@
 // The replication service with a mock of the table service.
 
+#include <endivestage/daemon/http_server.hpp>
 #include <endivestage/daemon/process_clock.hpp>
 #include <endivestage/serving/replication_service.hpp>
 
@@ -80,26 +81,19 @@
 };
 
 /// \returns Two routers, of which \p self does not poll the table service for the other.
-std::vector<relay_peer> make_pair(const router_id& self)
+std::vector<relay_peer> make_pair(const router_id& self, std::uint16_t relay_port)
 {
     relay_peer own;
     own.candidate = {self, zone_id("zone-a"), 0.1};
     relay_peer other;
     other.candidate = {router_id("other"), zone_id("zone-a"), 1.0};
-    other.address = {"127.0.0.1", 1};
+    other.address = {"127.0.0.1", relay_port};
     return {own, other};
 }
 
-} // namespace
-
-// Load: each router of a fleet refreshes its copies. Guards against calls without a pause where the
-// table service answers for one table and refuses calls for the other.
-TEST_CASE("a refresh that fails for one table is not repeated at once")
+/// \returns Callbacks of a router that serves nothing, beside one relay.
+replication_callbacks make_callbacks(const router_id& self, std::uint16_t relay_port)
 {
-    boost::asio::io_context context{1};
-    const daemon::process_clock time;
-    failing_feed tables(context);
-    const router_id self("self");
     replication_callbacks callbacks;
     callbacks.on_rows_changed = [](shared_table, std::span<const replicated_row>, bool) {
     };
@@ -117,19 +111,73 @@
     callbacks.on_fleet_failures = callbacks.on_fleet_loads;
     callbacks.send_to_relay = [](const router_id&, sum_kind, std::span<const engine_requests>) {
     };
-    callbacks.live_routers = [&]
+    callbacks.live_routers = [self, relay_port]
     {
-        return make_pair(self);
+        return make_pair(self, relay_port);
     };
     callbacks.registered_routers = callbacks.live_routers;
-    replication_service service(context, time, tables, self,
-                                source_choice({}, self, zone_id("zone-a")), std::move(callbacks));
+    return callbacks;
+}
+
+change_batch make_registrations()
+{
     change_batch routers;
     routers.revision = 1;
     routers.complete = true;
-    service.start(routers, false);
+    return routers;
+}
+
+constexpr std::uint16_t unused_port = 1;
+
+} // namespace
+
+// Load: each router of a fleet refreshes its copies. Guards against calls without a pause where the
+// table service answers for one table and refuses calls for the other.
+TEST_CASE("a refresh that fails for one table is not repeated at once")
+{
+    boost::asio::io_context context{1};
+    const daemon::process_clock time;
+    failing_feed tables(context);
+    const router_id self("self");
+    replication_service service(context, time, tables, self,
+                                source_choice({}, self, zone_id("zone-a")),
+                                make_callbacks(self, unused_port));
+    service.start(make_registrations(), false);
     context.run_for(std::chrono::milliseconds(5000));
     REQUIRE(service.is_complete());
     REQUIRE(tables.feeds > 2);
     REQUIRE(tables.feeds < 60);
 }
+
+// Guards against two followers that a relay takes for one, because their names are cut at a
+// character that is reserved in a URL: the loads that they report replace each other.
+TEST_CASE("a follower tells a relay its whole name")
+{
+    const std::string name = "edge&zone=a 1";
+    boost::asio::io_context context{1};
+    std::string told;
+    daemon::http_server relay(
+        context, {},
+        [&](daemon::http_request request,
+            daemon::response_writer& writer) -> daemon::awaitable<void>
+        {
+            daemon::http_target target;
+            if (daemon::parse_target(request.target, target))
+            {
+                told = target.parameter("router");
+            }
+            writer.abort();
+            context.stop();
+            co_return;
+        });
+    REQUIRE_FALSE(relay.listen({"127.0.0.1", 0}));
+    const daemon::process_clock time;
+    failing_feed tables(context);
+    const router_id self(name);
+    replication_service service(context, time, tables, self,
+                                source_choice({}, self, zone_id("zone-a")),
+                                make_callbacks(self, relay.port()));
+    service.start(make_registrations(), false);
+    context.run_for(std::chrono::milliseconds(5000));
+    REQUIRE(told == name);
+}
