Take an answer without a length for complete only after an orderly close

Cause: the kernel reports a reset to one call only. While a long request is being written, the event loop runs the write before the read: the write gets the reset, the next read sees the end of the stream, and http_connection took that for the end of an answer without a length. Callers got a 200 with a part of the body as a complete answer.

Change: the end of the stream ends such an answer only if the server has closed its side in order. A pending write gets 50 ms to fail, and its error counts unless it is a broken pipe, which Linux reports for a reset after the server's close.

Conclusion: the read alone cannot tell an orderly end while a request is being written. Bodies with a length or in chunks never had this fault.

--- a/endivestage/daemon/http_connection.cpp
+++ b/endivestage/daemon/http_connection.cpp
@@ -1,6 +1,7 @@
 #include <endivestage/daemon/http_connection.hpp>
 #include <endivestage/daemon/message_framing.hpp>
 #include <endivestage/daemon/process_clock.hpp>
+#include <endivestage/daemon/sleep.hpp>
 #include <endivestage/daemon/socket_deadline.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -31,6 +32,10 @@
 constexpr std::uint64_t answer_limit_bytes = 64ULL * 1024 * 1024;
 /// Received bytes that are not parsed yet. Beast limits heads but not the extensions of chunks.
 constexpr std::size_t receive_buffer_bytes = 256UL * 1024;
+/// A write on a connection that was reset fails at once. One that is still pending after this time
+/// waits for a peer that has closed its side in order and does not read.
+constexpr millis pending_write_wait{50};
+constexpr millis pending_write_check_interval{1};
 
 using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 using keep_alive_idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
@@ -52,6 +57,11 @@
                                  std::shared_ptr<outgoing_request> message,
                                  std::shared_ptr<const std::string> body);
 
+    /// To be called at the end of the stream of bytes.
+    /// \returns Whether the server has closed its side in order. The kernel reports a reset once:
+    /// if a write gets it, the next read sees the end of the stream instead.
+    static awaitable<bool> closed_in_order(std::shared_ptr<state> self);
+
     /// Closes the connection when its time is over; \ref deadline has cancelled its operation.
     void close_if_timed_out(const boost::system::error_code& ec)
     {
@@ -72,7 +82,8 @@
     std::unique_ptr<char[]> body =                                 // NOLINT(*-avoid-c-arrays)
         std::make_unique_for_overwrite<char[]>(read_buffer_bytes); // NOLINT(*-avoid-c-arrays)
     bool sending = false;
-    bool send_failed = false;
+    boost::system::error_code send_error;
+    bool end_confirmed = false; ///< Of a body that ends with the connection.
     bool closed = false;
     bool refused = false;
 };
@@ -137,7 +148,18 @@
     // The coroutine's frame may outlive the connection's use.
     body.reset();
     self->sending = false;
-    self->send_failed = static_cast<bool>(ec);
+    self->send_error = ec;
+}
+
+awaitable<bool> http_connection::state::closed_in_order(std::shared_ptr<state> self)
+{
+    for (millis waited{0}; self->sending && waited < pending_write_wait;
+         waited = waited + pending_write_check_interval)
+    {
+        co_await sleep_for(pending_write_check_interval);
+    }
+    // A broken pipe tells of a reset after the server's orderly close.
+    co_return !self->closed && (!self->send_error || self->send_error == asio::error::broken_pipe);
 }
 
 void http_connection::send(http_request request)
@@ -164,7 +186,7 @@
         message->content_length(body->size());
     }
     state_->sending = true;
-    state_->send_failed = false;
+    state_->send_error = {};
     asio::co_spawn(state_->stream.get_executor(),
                    state::write(state_, std::move(message), std::move(body)), asio::detached);
 }
@@ -174,6 +196,7 @@
     std::shared_ptr<state> self = state_;
     self->parser.emplace();
     self->parser->body_limit(answer_limit_bytes);
+    self->end_confirmed = false;
     boost::system::error_code ec;
     self->deadline.start(timeout, socket_deadline::direction::read);
     co_await http::async_read_header(self->stream, self->buf, *self->parser,
@@ -225,12 +248,20 @@
         }
         data.assign(self->body.get(), read_buffer_bytes - self->parser->get().body().size);
     }
+    if (data.empty() && self->parser->need_eof() && !self->end_confirmed)
+    {
+        self->end_confirmed = co_await state::closed_in_order(self);
+        if (!self->end_confirmed)
+        {
+            co_return self->failure();
+        }
+    }
     co_return data;
 }
 
 bool http_connection::reusable() const
 {
-    return !state_->closed && !state_->sending && !state_->send_failed && state_->parser &&
+    return !state_->closed && !state_->sending && !state_->send_error && state_->parser &&
            state_->parser->is_done() && state_->parser->get().keep_alive() &&
            !state_->parser->get().need_eof() && state_->buf.size() == 0;
 }
--- a/tests/daemon_http_connection_test.cpp
+++ b/tests/daemon_http_connection_test.cpp
@@ -1,4 +1,5 @@
-// Connections to engines, relays and the store: answers that arrive while the event loop is late.
+// Connections to engines, relays and the store: answers that arrive while the event loop is late,
+// or that a reset cuts off.
 
 #include <endivestage/daemon/http_connection.hpp>
 
@@ -30,7 +31,7 @@
 /// A connection to a server on a plain socket, with one request sent.
 struct connection_fixture
 {
-    connection_fixture()
+    explicit connection_fixture(http_request request = {})
         : acceptor(server_context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
           server(server_context),
           connection(context.get_executor())
@@ -39,12 +40,26 @@
         const std::error_code ec =
             run(connection.connect(std::move(address), long_timeout, long_timeout));
         REQUIRE_FALSE(ec);
-        connection.send(http_request{});
+        connection.send(std::move(request));
         acceptor.accept(server);
     }
 
     void respond(const std::string& text) { asio::write(server, asio::buffer(text)); }
 
+    /// Lets pending writes run, while nothing is read.
+    void run_writes()
+    {
+        context.restart();
+        context.run_for(std::chrono::milliseconds(20));
+    }
+
+    /// Resets the connection.
+    void reset()
+    {
+        server.set_option(asio::socket_base::linger(true, 0));
+        server.close();
+    }
+
     /// Starts an operation, which sets \p outcome at its end.
     template <class T>
     void start(awaitable<T> operation, std::optional<T>& outcome)
@@ -90,6 +105,17 @@
     return f.run(daemon::read_body(f.connection, millis{-1}, 1U << 20U));
 }
 
+/// \returns A request with a longer body than the sockets of a connection hold.
+http_request make_upload()
+{
+    http_request request;
+    request.method = "POST";
+    request.body.assign(16UL * 1024 * 1024, 'x');
+    return request;
+}
+
+constexpr const char* unframed_answer = "HTTP/1.1 200 OK\r\n\r\nanswer";
+
 /// Begins to read a head, and blocks the event loop until the time for it is over.
 /// \param answer Sent before the end of the time is handled.
 result<http_response> read_head_across_block(connection_fixture& f, const std::string& answer)
@@ -150,3 +176,52 @@
     REQUIRE(head.error() == errc::outcome_unknown);
     REQUIRE_FALSE(f.connection.quiet());
 }
+
+// Guards against a part of an answer that passes for the whole: a reset is reported once, and when
+// the write of a long upload gets it, the next read sees the end of the stream.
+TEST_CASE("an answer without a length that a reset cuts off during an upload is incomplete")
+{
+    const bool head_read_before = GENERATE(true, false);
+    CAPTURE(head_read_before);
+    connection_fixture f(make_upload());
+    f.respond(unframed_answer);
+    if (head_read_before)
+    {
+        REQUIRE(f.run(f.connection.read_head(long_timeout)).has_value());
+        REQUIRE(*f.run(f.connection.read_some(long_timeout)) == "answer");
+    }
+    f.run_writes();
+    f.reset();
+    f.run_writes();
+    if (!head_read_before)
+    {
+        REQUIRE(f.run(f.connection.read_head(long_timeout)).has_value());
+    }
+    const result<std::string> body =
+        f.run(daemon::read_body(f.connection, long_timeout, 1U << 20U));
+    REQUIRE_FALSE(body.has_value());
+    REQUIRE_FALSE(f.connection.reusable());
+}
+
+// Guards against an answer that is lost although it has come whole, because its server has closed
+// the connection, or reset it after that, without reading all of the upload.
+TEST_CASE("an answer without a length that ends in order during an upload is complete")
+{
+    const bool reset_later = GENERATE(true, false);
+    CAPTURE(reset_later);
+    connection_fixture f(make_upload());
+    f.respond(unframed_answer);
+    f.server.shutdown(tcp::socket::shutdown_send);
+    f.run_writes();
+    if (reset_later)
+    {
+        f.reset();
+        f.run_writes();
+    }
+    REQUIRE(f.run(f.connection.read_head(long_timeout)).has_value());
+    const result<std::string> body =
+        f.run(daemon::read_body(f.connection, long_timeout, 1U << 20U));
+    REQUIRE(body.has_value());
+    REQUIRE(*body == "answer");
+    REQUIRE_FALSE(f.connection.reusable());
+}
