Refuse answers whose status HTTP does not define, and skip interim ones

Cause: http_connection accepted any three digits as a status. Later checks ask only whether a status is a success or a server's error, so 000, 007, 099, 600 and 999 went to callers as the engine's answer, and an interim answer with the request's id passed for the final one.

Change: a status outside 200 to 599 breaks the connection and is logged as answer_malformed. Interim answers other than 101 are skipped, at most 16 before a final one.

Before: daemon_http_connection_test failed in 18 of 18 cases of status and framing, and in both cases of interim answers.

Conclusion: the check is in the one class that reads answers, so answers of the store and of relays have it too.

--- a/endivestage/daemon/http_connection.cpp
+++ b/endivestage/daemon/http_connection.cpp
@@ -1,4 +1,5 @@
 #include <endivestage/daemon/http_connection.hpp>
+#include <endivestage/daemon/logging.hpp>
 #include <endivestage/daemon/message_framing.hpp>
 #include <endivestage/daemon/process_clock.hpp>
 #include <endivestage/daemon/sleep.hpp>
@@ -36,6 +37,16 @@
 /// waits for a peer that has closed its side in order and does not read.
 constexpr millis pending_write_wait{50};
 constexpr millis pending_write_check_interval{1};
+constexpr int max_status = 599;
+constexpr int switching_protocols = 101;
+constexpr int max_interim_answers = 16; ///< Before one final answer.
+
+/// \returns Whether another answer to the same request follows. This client asks for no other
+/// protocol, so an answer that switches to one is not expected.
+bool is_interim(int status)
+{
+    return status >= 100 && status < 200 && status != switching_protocols;
+}
 
 using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 using keep_alive_idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
@@ -57,6 +68,9 @@
                                  std::shared_ptr<outgoing_request> message,
                                  std::shared_ptr<const std::string> body);
 
+    /// Reads the head of the next answer, which may be an interim one.
+    static awaitable<std::error_code> parse_head(std::shared_ptr<state> self, millis timeout);
+
     /// To be called at the end of the stream of bytes.
     /// \returns Whether the server has closed its side in order. The kernel reports a reset once:
     /// if a write gets it, the next read sees the end of the stream instead.
@@ -191,9 +205,9 @@
                    state::write(state_, std::move(message), std::move(body)), asio::detached);
 }
 
-awaitable<result<http_response>> http_connection::read_head(millis timeout)
+awaitable<std::error_code> http_connection::state::parse_head(std::shared_ptr<state> self,
+                                                              millis timeout)
 {
-    std::shared_ptr<state> self = state_;
     self->parser.emplace();
     self->parser->body_limit(answer_limit_bytes);
     self->end_confirmed = false;
@@ -202,19 +216,38 @@
     co_await http::async_read_header(self->stream, self->buf, *self->parser,
                                      asio::redirect_error(asio::use_awaitable, ec));
     self->close_if_timed_out(ec);
-    if (ec)
+    co_return ec ? self->failure() : std::error_code{};
+}
+
+awaitable<result<http_response>> http_connection::read_head(millis timeout)
+{
+    std::shared_ptr<state> self = state_;
+    const process_clock time;
+    const time_point deadline = time.now() + timeout;
+    http_response head;
+    for (int skipped = 0; skipped <= max_interim_answers; ++skipped)
     {
-        co_return self->failure();
+        const std::error_code ec = co_await state::parse_head(self, deadline - time.now());
+        if (ec)
+        {
+            co_return ec;
+        }
+        head.status = static_cast<int>(self->parser->get().result_int());
+        if (!is_interim(head.status))
+        {
+            break;
+        }
     }
-    http_response head;
-    head.status = static_cast<int>(self->parser->get().result_int());
     for (const auto& field : self->parser->get())
     {
         head.fields.emplace_back(field.name_string(), field.value());
     }
-    if (check_framing(head.fields, self->parser->get().version() % 10) != message_framing::valid)
+    const bool final_status = head.status >= 200 && head.status <= max_status;
+    if (!final_status ||
+        check_framing(head.fields, self->parser->get().version() % 10) != message_framing::valid)
     {
-        // Its end is unknown, so nothing on this connection can be told from the next response.
+        log_event(log_level::warning, "answer_malformed", {{"status", head.status}});
+        // What follows cannot be told from the next response.
         boost::system::error_code ignored;
         self->stream.socket().close(ignored);
         co_return make_error_code(errc::outcome_unknown);
--- a/endivestage/daemon/http_connection.hpp
+++ b/endivestage/daemon/http_connection.hpp
@@ -47,7 +47,9 @@
     /// \param body Kept until it was sent.
     void send(http_request request, std::shared_ptr<const std::string> body);
 
-    /// \brief Reads status and fields of the next answer.
+    /// \brief Reads status and fields of the next final answer; interim ones are skipped. An answer
+    /// whose status is not defined by HTTP, or whose end cannot be determined, breaks the
+    /// connection.
     awaitable<result<http_response>> read_head(millis timeout);
 
     /// \brief Reads the next part of the answer's body.
--- a/tests/daemon_http_connection_test.cpp
+++ b/tests/daemon_http_connection_test.cpp
@@ -225,3 +225,50 @@
     REQUIRE(*body == "answer");
     REQUIRE_FALSE(f.connection.reusable());
 }
+
+// Guards against callers that get an answer whose status HTTP does not define.
+TEST_CASE("an answer with a status outside 100 to 599 is refused")
+{
+    const std::string status = GENERATE("000", "007", "099", "600", "999", "101");
+    const std::string framing =
+        GENERATE("Content-Length: 2\r\n\r\nok",
+                 "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "\r\nok");
+    CAPTURE(status, framing);
+    connection_fixture f;
+    f.respond("HTTP/1.1 " + status + " Odd\r\n" + framing);
+    const result<http_response> head = f.run(f.connection.read_head(long_timeout));
+    REQUIRE_FALSE(head.has_value());
+    REQUIRE(head.error() == errc::outcome_unknown);
+    REQUIRE_FALSE(f.connection.reusable());
+    REQUIRE_FALSE(f.connection.quiet());
+}
+
+// Guards against an interim answer that passes for the final one.
+TEST_CASE("interim answers are skipped")
+{
+    connection_fixture f;
+    f.respond("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+              "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    const result<http_response> head = f.run(f.connection.read_head(long_timeout));
+    REQUIRE(head.has_value());
+    REQUIRE(head->status == 200);
+    const result<std::string> body =
+        f.run(daemon::read_body(f.connection, long_timeout, 1U << 20U));
+    REQUIRE(body.has_value());
+    REQUIRE(*body == "ok");
+    REQUIRE(f.connection.reusable());
+}
+
+// Guards against a read that interim answers keep busy without end.
+TEST_CASE("interim answers without end are refused")
+{
+    connection_fixture f;
+    std::string answers;
+    for (int n = 0; n < 1000; ++n)
+    {
+        answers += "HTTP/1.1 102 Processing\r\n\r\n";
+    }
+    f.respond(answers);
+    const result<http_response> head = f.run(f.connection.read_head(long_timeout));
+    REQUIRE_FALSE(head.has_value());
+}
