Deliver events before a gap, and let another engine go on after it

Cause: forward_events ended the attempt before it delivered the events that came in the same read as a gap, while the framer counted them as delivered. The framer also stayed broken in the next attempt. Callers lost events that had come and got a cut stream although another engine could go on.

Change: events are delivered first; a restart of the framer clears the state of the attempt before.

Conclusion: the framer's last event and what the caller has are the same again at the end of every attempt.

--- a/endivestage/serving/event_framer.cpp
+++ b/endivestage/serving/event_framer.cpp
@@ -126,6 +126,7 @@
 {
     buf_.clear();
     resumed_ = true;
+    broken_ = false;
 }
 
 } // namespace endivestage::serving
--- a/endivestage/serving/exchange_response.cpp
+++ b/endivestage/serving/exchange_response.cpp
@@ -151,15 +151,6 @@
             co_return endpoint_outcome::broken;
         }
         std::string events = end ? framer_.take_remainder() : framer_.add(*chunk);
-        if (framer_.is_broken())
-        {
-            co_return endpoint_outcome::broken;
-        }
-        if (!response_share_.resize(framer_.pending_bytes()))
-        {
-            log_too_large();
-            co_return endpoint_outcome::broken;
-        }
         if (!events.empty())
         {
             if (first)
@@ -185,6 +176,16 @@
                 co_return endpoint_outcome::broken;
             }
         }
+        // Only now: another engine goes on after the events that the framer has returned.
+        if (framer_.is_broken())
+        {
+            co_return endpoint_outcome::broken;
+        }
+        if (!response_share_.resize(framer_.pending_bytes()))
+        {
+            log_too_large();
+            co_return endpoint_outcome::broken;
+        }
         if (end)
         {
             if (!history_.response_started)
--- a/tests/daemon_event_framer_test.cpp
+++ b/tests/daemon_event_framer_test.cpp
@@ -57,8 +57,11 @@
     event_framer framer;
     framer.add(make_events(1, 3));
     framer.restart();
-    REQUIRE(framer.add(make_events(5, 6)).empty());
+    REQUIRE(framer.add(make_event(4) + make_events(6, 7)) == make_event(4));
     REQUIRE(framer.is_broken());
+    framer.restart();
+    REQUIRE(framer.add(make_events(5, 6)) == make_events(5, 6));
+    REQUIRE_FALSE(framer.is_broken());
 }
 
 // Property: the events are unchanged wherever the bytes are split.
--- a/tests/daemon_platform_path_test.cpp
+++ b/tests/daemon_platform_path_test.cpp
@@ -314,46 +314,6 @@
             engine_reply::connection_action::close};
 }
 
-struct received_stream
-{
-    int status = 0; ///< 0 without a response head.
-    std::string events;
-    bool complete = false; ///< Whether the response came to a valid end.
-};
-
-/// Reads a response as far as it comes, also when its connection ends before its end.
-awaitable<received_stream> receive_stream(fleet& f, std::string target)
-{
-    received_stream received;
-    daemon::http_connection caller(f.context.get_executor());
-    const std::error_code ec =
-        co_await caller.connect(f.settings.callers, millis{1000}, millis{1000});
-    REQUIRE_FALSE(ec);
-    http_request request;
-    request.method = "POST";
-    request.target = std::move(target);
-    request.fields = {{"Host", "t.example"},
-                      {"X-Attempt-Id", "stream-" + std::to_string(++f.attempts)},
-                      {"Authorization", "Bearer key-1"}};
-    caller.send(std::move(request));
-    result<http_response> head = co_await caller.read_head(millis{5000});
-    if (!head)
-    {
-        co_return received;
-    }
-    received.status = head->status;
-    for (;;)
-    {
-        result<std::string> bytes = co_await caller.read_some(millis{5000});
-        received.complete = bytes && bytes->empty();
-        if (!bytes || bytes->empty())
-        {
-            co_return received;
-        }
-        received.events += *bytes;
-    }
-}
-
 } // namespace
 
 // Fault: an engine ends its response in an orderly way inside an event, with the last chunk or,
