End a stream's attempt at bytes that are no event

Cause: event_framer split a stream at blank lines and passed on whatever lay between. Callers found the text or the whole head of an engine's error in the middle of their stream, or as the whole stream with status 200.

Change: a block of lines must be a comment or an event with fields of the format. Where an engine goes on with a stream whose events have ids, an event without one ends the attempt as well.

Before: three cases of daemon_broken_stream_test failed with each of three framings; two events without an id were joined to a resumed stream. After: all pass, and comments, retry times and plain data events still leave a stream complete.

Conclusion: what the framer returns is an event or a comment.

--- a/endivestage/serving/event_framer.cpp
+++ b/endivestage/serving/event_framer.cpp
@@ -9,31 +9,73 @@
 namespace
 {
 
-std::optional<std::uint64_t> find_event_id(std::string_view event)
+/// What the lines up to a blank line hold.
+struct event_content
 {
-    std::size_t start = 0;
-    while (start < event.size())
+    std::optional<std::uint64_t> id;
+    bool malformed = false; ///< A line is neither a field nor a comment.
+    bool has_field = false; ///< A field that the format of event streams defines.
+    bool has_data = false;  ///< Also an event type: a field that makes it an event.
+    bool empty = true;      ///< Comments and blank lines only.
+};
+
+bool is_name_character(char c)
+{
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
+           c == '_';
+}
+
+std::optional<std::uint64_t> parse_id(std::string_view value)
+{
+    value.remove_prefix(std::min(value.find_first_not_of(' '), value.size()));
+    std::uint64_t id = 0;
+    const std::from_chars_result parsed =
+        std::from_chars(value.data(), value.data() + value.size(), id);
+    return parsed.ec == std::errc{} ? std::optional<std::uint64_t>(id) : std::nullopt;
+}
+
+void read_line(std::string_view line, event_content& content)
+{
+    if (line.empty() || line.starts_with(':'))
+    {
+        return;
+    }
+    content.empty = false;
+    const std::size_t colon = std::min(line.find(':'), line.size());
+    const std::string_view name = line.substr(0, colon);
+    if (name == "data" || name == "event")
     {
-        const std::size_t end = std::min(event.find('\n', start), event.size());
-        std::string_view line = event.substr(start, end - start);
-        if (line.starts_with("id:"))
+        content.has_data = true;
+    }
+    else if (name == "id")
+    {
+        content.id =
+            content.id ? content.id : parse_id(line.substr(std::min(colon + 1, line.size())));
+    }
+    else if (name != "retry")
+    {
+        content.malformed =
+            content.malformed || !std::all_of(name.begin(), name.end(), is_name_character);
+        return;
+    }
+    content.has_field = true;
+}
+
+event_content read_event(std::string_view event)
+{
+    event_content content;
+    while (!event.empty())
+    {
+        const std::size_t end = std::min(event.find('\n'), event.size());
+        std::string_view line = event.substr(0, end);
+        if (line.ends_with('\r'))
         {
-            line.remove_prefix(3);
-            while (line.starts_with(' '))
-            {
-                line.remove_prefix(1);
-            }
-            std::uint64_t value = 0;
-            const std::from_chars_result parsed =
-                std::from_chars(line.data(), line.data() + line.size(), value);
-            if (parsed.ec == std::errc{})
-            {
-                return value;
-            }
+            line.remove_suffix(1);
         }
-        start = end + 1;
+        read_line(line, content);
+        event.remove_prefix(std::min(end + 1, event.size()));
     }
-    return std::nullopt;
+    return content;
 }
 
 /// \returns The position after the first event; npos when no event is complete.
@@ -52,7 +94,15 @@
 
 bool event_framer::accept(std::string_view event)
 {
-    const std::optional<std::uint64_t> id = find_event_id(event);
+    const event_content content = read_event(event);
+    const std::optional<std::uint64_t> id = content.id;
+    // Also an event without an id of an engine that goes on with a stream: the caller may have it.
+    if (content.malformed || (!content.empty && !content.has_field) ||
+        (resumed_ && last_event_id_ && content.has_data && !id))
+    {
+        broken_ = true;
+        return false;
+    }
     if (resumed_ && id && last_event_id_)
     {
         if (*id <= *last_event_id_)
--- a/tests/daemon_broken_stream_test.cpp
+++ b/tests/daemon_broken_stream_test.cpp
@@ -114,3 +114,116 @@
     REQUIRE(received.events == make_events(1, 7));
     REQUIRE(received.complete);
 }
+
+namespace
+{
+
+/// Bytes that are no event of a stream with ids.
+const std::vector<std::string>& foreign_bytes()
+{
+    static const std::vector<std::string> all{
+        "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nerror",
+        "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+        "internal error\n\n",
+        "error\n\n",
+        "{\"error\":{\"code\":500}}\n\n",
+        "<html><h1>502</h1></html>\r\n\r\n",
+        "error: the engine failed\n\n"};
+    return all;
+}
+
+} // namespace
+
+// Guards against an error's text or head in the middle of a stream: an engine in trouble puts it
+// where the next event is expected.
+TEST_CASE("bytes that are no event do not reach the caller of a stream")
+{
+    const framing framed = GENERATE(framing::length, framing::chunked, framing::close);
+    for (const std::string& foreign : foreign_bytes())
+    {
+        CAPTURE(static_cast<int>(framed), foreign);
+        const auto respond = [&](const http_request& request)
+        {
+            return standin::last_event_id(request) == 0
+                       ? make_stream(request, framed, {make_events(1, 2) + foreign})
+                       : make_stream(request, framed, {make_events(3, 4)});
+        };
+        const received_stream cut = run_stream("/s/", respond);
+        REQUIRE(cut.status == 200);
+        REQUIRE(cut.events == make_events(1, 2));
+        REQUIRE_FALSE(cut.complete);
+        const received_stream resumed = run_stream("/r/", respond);
+        REQUIRE(resumed.status == 200);
+        REQUIRE(resumed.events == make_events(1, 4));
+        REQUIRE(resumed.complete);
+    }
+}
+
+// Guards against an error that an engine puts into the format of events, and against events that a
+// caller gets twice: without an id it is unknown whether the engine repeats them.
+TEST_CASE("an event without an id does not go on with a stream of events that have one")
+{
+    const framing framed = GENERATE(framing::length, framing::chunked, framing::close);
+    const std::string event =
+        GENERATE("data: token\n\n", "event: error\ndata: the engine failed\n\n");
+    CAPTURE(static_cast<int>(framed), event);
+    const auto respond = [&](const http_request& request)
+    {
+        switch (standin::last_event_id(request))
+        {
+        case 0:
+            return engine_reply{
+                {standin::make_stream_head(request) + make_chunk(make_events(1, 2))},
+                millis{0},
+                engine_reply::connection_action::reset};
+        case 2:
+            return make_stream(request, framed, {make_events(3, 3) + event});
+        default:
+            return make_stream(request, framed, {make_events(4, 5)});
+        }
+    };
+    const received_stream cut = run_stream("/r/", respond);
+    REQUIRE(cut.events == make_events(1, 3));
+    REQUIRE_FALSE(cut.complete);
+    const received_stream resumed = run_stream("/r/", respond, 3);
+    REQUIRE(resumed.events == make_events(1, 5));
+    REQUIRE(resumed.complete);
+}
+
+// Guards against an error's text that callers get as their whole stream.
+TEST_CASE("bytes that are no event do not begin a stream")
+{
+    const framing framed = GENERATE(framing::length, framing::chunked, framing::close);
+    for (const std::string& foreign :
+         {std::string("internal error\n\n"), std::string("error\n\n"), std::string("{\"a\":1}\n\n"),
+          std::string("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n")})
+    {
+        CAPTURE(static_cast<int>(framed), foreign);
+        for (const char* target : {"/s/", "/r/"})
+        {
+            const received_stream failed =
+                run_stream(target, [&](const http_request& request)
+                           { return make_stream(request, framed, {foreign}); });
+            REQUIRE(failed.status == 502);
+        }
+    }
+}
+
+// Guards against streams that are cut because of lines that the stream format allows.
+TEST_CASE("comments, retry times and further fields of events leave a stream complete")
+{
+    const std::string events = ": hello\n\n" + make_events(1, 1) +
+                               ": keep-alive\n\nretry: 500\n\n" +
+                               "x-weight-versions: 4\nid: 2\ndata: token\ndata\n\n" +
+                               "event: token\r\nid:3\r\ndata: token\r\n\r\n\n" + make_events(4, 4);
+    const std::string plain = "data: one\n\ndata: two\n\ndata: [DONE]\n\n";
+    for (const std::string& body : {events, plain})
+    {
+        const received_stream received =
+            run_stream("/s/", [&](const http_request& request)
+                       { return make_stream(request, framing::chunked, {body}); });
+        REQUIRE(received.status == 200);
+        REQUIRE(received.events == body);
+        REQUIRE(received.complete);
+    }
+}
