Take only a 200 for a stream

Cause: any 2xx with the type of an event stream counted as a stream. A 204 has no body, so when the engine that should go on with a stream answered with one, the caller's stream ended as if it were complete.

Change: only a 200 is a stream; another 2xx ends the attempt.

Before: daemon_broken_stream_test, "an error of the engine that should go on does not reach the caller of a stream", failed in 6 of 114 cases, all with 204. After: all pass.

Conclusion: none of the other nine statuses, with two types, three framings and two endings of the first engine, reached a caller.

--- a/endivestage/serving/wire_codec.hpp
+++ b/endivestage/serving/wire_codec.hpp
@@ -50,7 +50,7 @@
     bool not_executed = false;       ///< The endpoint states that it did not execute the request.
     bool misdirected = false;        ///< The address belongs to another endpoint.
     bool success = false;            ///< The status is 2xx.
-    bool is_event_stream = false;    ///< The body is an event stream.
+    bool is_event_stream = false;    ///< The body is an event stream; of a 200 only.
     bool from_endpoint = false;      ///< The response is marked as produced by an endpoint.
     std::optional<load_report> load; ///< The endpoint's report of its work.
     /// Set when the report has an unknown number of figures or one that is not a number: how many
--- a/tests/daemon_broken_stream_test.cpp
+++ b/tests/daemon_broken_stream_test.cpp
@@ -209,6 +209,42 @@
     }
 }
 
+// Guards against the next engine's error in the middle of a stream that has begun, and against a
+// stream that ends as if it were complete.
+TEST_CASE("an error of the engine that should go on does not reach the caller of a stream")
+{
+    const engine_reply::connection_action end =
+        GENERATE(engine_reply::connection_action::close, engine_reply::connection_action::reset);
+    const int status = GENERATE(200, 204, 400, 404, 410, 429, 500, 502, 503, 504);
+    const std::string type = GENERATE("application/json", "text/event-stream");
+    const framing framed = GENERATE(framing::length, framing::chunked, framing::close);
+    if (status == 200 && type == "text/event-stream")
+    {
+        return; // See the test of bytes that are no event.
+    }
+    CAPTURE(static_cast<int>(end), status, type, static_cast<int>(framed));
+    const auto respond = [&](const http_request& request)
+    {
+        if (standin::last_event_id(request) == 0)
+        {
+            return engine_reply{{standin::make_stream_head(request) + make_chunk(make_events(1, 2)),
+                                 make_chunk("id: 3\ndata: to")},
+                                millis{1},
+                                end};
+        }
+        engine_reply error = make_stream(request, framed, {"{\"error\":\"failed\"}"});
+        std::string& head = error.pieces.front();
+        head.replace(head.find("200 OK"), 6, std::to_string(status) + " Error");
+        const std::string stream = "text/event-stream";
+        head.replace(head.find(stream), stream.size(), type);
+        return error;
+    };
+    const received_stream cut = run_stream("/r/", respond);
+    REQUIRE(cut.status == 200);
+    REQUIRE(cut.events == make_events(1, 2));
+    REQUIRE_FALSE(cut.complete);
+}
+
 // Guards against streams that are cut because of lines that the stream format allows.
 TEST_CASE("comments, retry times and further fields of events leave a stream complete")
 {
