Refuse successes without the endpoint's mark, also streams, and encoded ones

Cause: the mark of endpoints' answers was checked for whole bodies only, and Content-Encoding not at all, although requests ask for no encoding. Callers got streams without the mark and bodies that are not the endpoint's.

Change: a success without the mark, or with a coding other than identity, ends the attempt.

Before: daemon_faulty_answers_test, "a success without the engine's mark or with an encoded body is not delivered", failed in 4 of 4 cases. After: passes; identity is delivered.

--- a/endivestage/serving/event_framer.hpp
+++ b/endivestage/serving/event_framer.hpp
@@ -44,9 +44,9 @@
     /// \returns The id of the last event returned by \ref add; nothing when no event had an id.
     std::optional<std::uint64_t> last_event_id() const { return last_event_id_; }
 
-    /// \returns Whether an event was missing after a restart, or was too long, or whether bytes came
-    /// that are no event of this stream, such as the text of an error. The events that
-    /// \ref add has returned are sound all the same.
+    /// \returns Whether an event was missing after a restart, or was too long, or whether bytes
+    /// came that are no event of this stream, such as the text of an error. The events that \ref
+    /// add has returned are sound all the same.
     bool is_broken() const { return broken_; }
 
     /// \returns Whether bytes of an incomplete event are buffered.
--- a/endivestage/serving/exchange_attempt.cpp
+++ b/endivestage/serving/exchange_attempt.cpp
@@ -397,6 +397,10 @@
         response_ = std::move(*response);
         co_return co_await forward_body();
     }
+    if (!response->info.from_endpoint)
+    {
+        co_return endpoint_outcome::broken;
+    }
     if (!history_.response_started)
     {
         // A resumed stream keeps the response head of its first engine.
--- a/endivestage/serving/wire_codec.hpp
+++ b/endivestage/serving/wire_codec.hpp
@@ -46,12 +46,12 @@
 /// \brief Metadata of an endpoint's response, decoded from status and header fields.
 struct response_info
 {
-    bool matches_request = false;    ///< The response belongs to the request that was sent.
-    bool not_executed = false;       ///< The endpoint states that it did not execute the request.
-    bool misdirected = false;        ///< The address belongs to another endpoint.
-    bool success = false;            ///< The status is 2xx.
-    bool is_event_stream = false;    ///< The body is an event stream; of a 200 only.
-    bool from_endpoint = false;      ///< The response is marked as produced by an endpoint.
+    bool matches_request = false; ///< The response belongs to the request that was sent.
+    bool not_executed = false;    ///< The endpoint states that it did not execute the request.
+    bool misdirected = false;     ///< The address belongs to another endpoint.
+    bool success = false;         ///< The status is 2xx.
+    bool is_event_stream = false; ///< The body is an event stream; of a 200 only.
+    bool from_endpoint = false; ///< The endpoint marked the response, and its body is not encoded.
     std::optional<load_report> load; ///< The endpoint's report of its work.
     /// Set when the report has an unknown number of figures or one that is not a number: how many
     /// figures it has. The known ones before that are decoded all the same.
--- a/tests/daemon_faulty_answers_test.cpp
+++ b/tests/daemon_faulty_answers_test.cpp
@@ -1,4 +1,5 @@
-// Engines whose answers are no answers: statuses that HTTP does not define.
+// Engines whose answers are no answers: statuses that HTTP does not define, and bodies that are not
+// the engine's.
 
 #include "platform_fleet.hpp"
 
@@ -17,8 +18,9 @@
 engine_reply make_framed(const http_request& request, const std::string& status,
                          const std::string& framing, const std::string& body)
 {
-    std::string bytes = "HTTP/1.1 " + status + " Odd\r\nX-Attempt-Id: " +
-                        standin::request_id(request) + "\r\nX-Origin-Seal: seal\r\n";
+    std::string bytes = "HTTP/1.1 " + status +
+                        " Odd\r\nX-Attempt-Id: " + standin::request_id(request) +
+                        "\r\nX-Origin-Seal: seal\r\n";
     if (request.target.starts_with("/s/") || request.target.starts_with("/r/"))
     {
         bytes += "Content-Type: text/event-stream\r\n";
@@ -97,3 +99,73 @@
             }
         });
 }
+
+namespace
+{
+
+struct marked_answer
+{
+    std::string fields;
+    bool stream = false;
+};
+
+engine_reply make_marked(const http_request& request, const marked_answer& answer)
+{
+    return keep_open("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + standin::request_id(request) + "\r\n" +
+                     answer.fields + (answer.stream ? "Content-Type: text/event-stream\r\n" : "") +
+                     "Content-Length: 19\r\n\r\nid: 1\ndata: token\n\n");
+}
+
+} // namespace
+
+// Guards against a success that is not the engine's: without its mark, or with a body that
+// something on the way has encoded.
+TEST_CASE("a success without the engine's mark or with an encoded body is not delivered")
+{
+    const std::string fields =
+        GENERATE("", "X-Origin-Seal: seal\r\nContent-Encoding: gzip\r\n",
+                 "Content-Encoding: deflate\r\nX-Origin-Seal: seal\r\n", "X-Origin-Seal:\r\n");
+    CAPTURE(fields);
+    fleet f;
+    f.add_engine("e1",
+                 [&](const http_request& request)
+                 {
+                     const bool stream =
+                         request.target.starts_with("/s/") || request.target.starts_with("/r/");
+                     return make_marked(request, {fields, stream});
+                 });
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            for (const char* target : routes)
+            {
+                CAPTURE(target);
+                const http_response response = co_await f.send_request("POST", target);
+                REQUIRE(response.status == 502);
+            }
+        });
+}
+
+// Guards against bodies that are refused although nothing has encoded them.
+TEST_CASE("a body with the identity encoding is delivered")
+{
+    fleet f;
+    f.add_engine("e1",
+                 [&](const http_request& request)
+                 {
+                     return make_marked(request,
+                                        {"X-Origin-Seal: seal\r\nContent-Encoding: identity\r\n",
+                                         request.target.starts_with("/s/")});
+                 });
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            for (const char* target : {"/o/", "/s/"})
+            {
+                const http_response response = co_await f.send_request("POST", target);
+                REQUIRE(response.status == 200);
+            }
+        });
+}
