Test answers that are cut inside their head

Change: a test that cuts a head at every byte, on new and kept connections, with four framings, by a close, a reset and silence (every seventh byte).

Conclusion: the parser reports an unfinished head as an error already.

--- a/tests/daemon_http_connection_test.cpp
+++ b/tests/daemon_http_connection_test.cpp
@@ -72,10 +72,10 @@
     template <class T>
     T run_until(std::optional<T>& outcome)
     {
-        for (int n = 0; n < 400 && !outcome; ++n)
+        for (int n = 0; n < 1000 && !outcome; ++n)
         {
             context.restart();
-            context.run_for(std::chrono::milliseconds(5));
+            context.run_one_for(std::chrono::milliseconds(5));
         }
         REQUIRE(outcome.has_value());
         return std::move(*outcome);
@@ -272,3 +272,54 @@
     const result<http_response> head = f.run(f.connection.read_head(long_timeout));
     REQUIRE_FALSE(head.has_value());
 }
+
+namespace
+{
+
+/// How a server that stops in the middle of an answer leaves the connection.
+enum class cut
+{
+    close,
+    reset,
+    silence,
+};
+
+} // namespace
+
+// Guards against an answer with an empty or short body that passes for the whole one, because its
+// server stopped in the middle of its head.
+TEST_CASE("an answer that is cut inside its head is no answer")
+{
+    const cut ending = GENERATE(cut::close, cut::reset, cut::silence);
+    const bool kept = GENERATE(false, true);
+    const std::string framing = GENERATE("Content-Length: 0\r\n", "Content-Length: 26\r\n",
+                                         "Transfer-Encoding: chunked\r\n", "");
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n" + framing + "X-Origin-Seal: s\r\n\r\n";
+    for (std::size_t length = 0; length < head.size(); length += ending == cut::silence ? 7 : 1)
+    {
+        CAPTURE(static_cast<int>(ending), kept, framing, length);
+        connection_fixture f;
+        if (kept)
+        {
+            f.respond("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            REQUIRE(f.run(f.connection.read_head(long_timeout)).has_value());
+            REQUIRE(f.run(f.connection.read_some(long_timeout))->empty());
+            REQUIRE(f.connection.reusable());
+            f.connection.send(http_request{});
+        }
+        f.respond(head.substr(0, length));
+        if (ending == cut::close)
+        {
+            f.server.shutdown(tcp::socket::shutdown_both);
+            f.server.close();
+        }
+        else if (ending == cut::reset)
+        {
+            f.reset();
+        }
+        const result<http_response> read = f.run(f.connection.read_head(millis{20}));
+        REQUIRE_FALSE(read.has_value());
+        REQUIRE_FALSE(f.connection.reusable());
+    }
+}
