Pause before the next poll where the store's answers make no progress

Cause: only failed calls to the table service were followed by a pause. A store whose feeds lack the history, whose lists are older than the copy or whose feeds do not wait was asked again as fast as it answered.

Change: poll_progress, a module without a network, sets a pause after such answers. The line table_poll_stalled names the reason once.

--- a/endivestage/replication.hpp
+++ b/endivestage/replication.hpp
@@ -8,12 +8,14 @@
 ///    once for all followers
 ///  - source_choice, relay_candidate (replication/source_choice.hpp): choice between the table
 ///    service and a relay
+///  - poll_progress (replication/poll_progress.hpp): pauses after answers that tell nothing new
 ///  - service_outage (replication/service_outage.hpp): outages during which rows may have expired
 ///  - start_sequence (replication/start_sequence.hpp): whom a starting router asks for the tables
 ///  - replication_timing (replication/timing.hpp): intervals and age limits
 #pragma once
 
 #include <endivestage/replication/encoded_change_cache.hpp>
+#include <endivestage/replication/poll_progress.hpp>
 #include <endivestage/replication/service_outage.hpp>
 #include <endivestage/replication/source_choice.hpp>
 #include <endivestage/replication/start_sequence.hpp>
--- a/endivestage/serving/replication_service.cpp
+++ b/endivestage/serving/replication_service.cpp
@@ -210,6 +210,7 @@
     const time_point sent = time_.now();
     ++store_calls_;
     result<timestamped_batch> response = make_error_code(errc::stale_view);
+    bool listed = false;
     // When the changes since this revision are no longer available, as after an outage, a list
     // returns all rows at once.
     if (revision)
@@ -218,6 +219,7 @@
     }
     if (!response && response.error() == errc::stale_view)
     {
+        listed = true;
         response = co_await tables_.list(table);
     }
     record_service_result(table, sent, response ? std::error_code{} : response.error());
@@ -247,6 +249,12 @@
             std::max(sent, service_clock_.earliest_local(response->timestamp).value_or(sent)));
     }
     callbacks_.on_updated();
+    const millis stalled = record_progress(
+        table, {revision, response->batch.revision, listed, time_.now() - sent, max_wait});
+    if (stalled > millis{0})
+    {
+        co_return stalled;
+    }
     const bool urgent =
         table == shared_table::operations ||
         (table == shared_table::routers && rollouts_ != nullptr && rollouts_->is_active());
@@ -258,6 +266,24 @@
     co_return is_settling() ? std::min(pause, settling_change_pause) : pause;
 }
 
+millis replication_service::record_progress(shared_table table, const poll_answer& answer)
+{
+    poll_progress& progress = service_states_.at(table).progress;
+    const poll_stall stall = progress.record(answer);
+    const millis pause =
+        progress.pause(hash64(self_.view(), static_cast<std::uint64_t>(answer.took.count)));
+    if (progress.stalls() == 1)
+    {
+        log_event(log_level::warning, "table_poll_stalled",
+                  {{"table", to_string(table)},
+                   {"reason", to_string(stall)},
+                   {"copy", answer.known.value_or(0)},
+                   {"answer", answer.revision},
+                   {"pause_ms", pause}});
+    }
+    return pause;
+}
+
 millis replication_service::poll_wait(shared_table table) const
 {
     if (table == shared_table::routers)
@@ -313,16 +339,22 @@
 
 awaitable<void> replication_service::refresh()
 {
+    const service_state& operations = service_states_.at(shared_table::operations);
+    const service_state& endpoints = service_states_.at(shared_table::endpoints);
     millis delay = co_await poll_service(shared_table::operations, millis{0});
-    bool reachable = service_states_.at(shared_table::operations).reachable;
+    bool reachable = operations.reachable;
     if (reachable)
     {
-        delay = co_await poll_service(shared_table::endpoints, millis{0});
-        reachable = service_states_.at(shared_table::endpoints).reachable;
+        const millis after_endpoints = co_await poll_service(shared_table::endpoints, millis{0});
+        delay = std::max(delay, after_endpoints);
+        reachable = endpoints.reachable;
     }
     if (!reachable)
     {
         source_choice_.record_failure(self_, time_.now());
+    }
+    if (!reachable || operations.progress.stalls() > 0 || endpoints.progress.stalls() > 0)
+    {
         co_await daemon::sleep_for(delay);
     }
 }
--- a/endivestage/serving/replication_service.hpp
+++ b/endivestage/serving/replication_service.hpp
@@ -160,6 +160,8 @@
                               daemon::http_response& response);
     void apply(shared_table table, const change_batch& batch, bool settling);
     void record_service_result(shared_table table, time_point sent, std::error_code ec);
+    /// \returns The pause before the next poll; none if the answer makes progress.
+    millis record_progress(shared_table table, const poll_answer& answer);
     void renew_freshness(shared_table table, time_point instant);
     /// \returns Age of the older one of the operator's and the endpoints' table, whose changes must
     /// be in force within a bound; nothing before the first copies.
@@ -172,6 +174,7 @@
     {
         bool reachable = false;    ///< The last call succeeded.
         std::int64_t failures = 0; ///< Consecutive failures.
+        poll_progress progress;
     };
 
     /// \brief Encoded changes of a table for followers.
--- a/tests/daemon_replication_test.cpp
+++ b/tests/daemon_replication_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <set>
 
 using namespace endivestage;
 using namespace endivestage::serving;
@@ -19,16 +20,31 @@
 
 constexpr millis response_time{2};
 
-/// A table service whose feeds of the endpoints' table fail.
+/// How the table service of a test answers after the first list of a table.
+enum class feed_fault
+{
+    endpoints_refused, ///< Calls for the endpoints' table are refused.
+    history_lost,      ///< Every feed lacks the history; lists have nothing new.
+    older_list,        ///< The same, with lists of an older copy.
+    early,             ///< Feeds answer at once with nothing new.
+};
+
+/// A table service whose feeds fail.
 class failing_feed final : public table_client
 {
 public:
-    explicit failing_feed(boost::asio::io_context& context) : context_(context) {}
+    failing_feed(boost::asio::io_context& context, feed_fault fault)
+        : context_(context),
+          fault_(fault)
+    {
+    }
 
-    daemon::awaitable<result<timestamped_batch>> list(shared_table) override
+    daemon::awaitable<result<timestamped_batch>> list(shared_table table) override
     {
+        ++lists;
         timestamped_batch response;
-        response.batch.revision = 1;
+        const bool again = !listed_.insert(table).second;
+        response.batch.revision = again && fault_ == feed_fault::older_list ? 1 : 2;
         response.batch.complete = true;
         return respond(std::move(response), response_time);
     }
@@ -37,13 +53,18 @@
     fetch_changes(shared_table table, std::uint64_t revision, millis max_wait) override
     {
         ++feeds;
-        if (table == shared_table::endpoints)
+        if (fault_ == feed_fault::history_lost || fault_ == feed_fault::older_list)
+        {
+            return respond(make_error_code(errc::stale_view), response_time);
+        }
+        if (fault_ == feed_fault::endpoints_refused && table == shared_table::endpoints)
         {
             return respond(make_error_code(errc::overloaded), response_time);
         }
         timestamped_batch response;
         response.batch.revision = revision;
-        return respond(std::move(response), response_time + max_wait);
+        const bool early = fault_ == feed_fault::early;
+        return respond(std::move(response), early ? response_time : response_time + max_wait);
     }
 
     daemon::awaitable<std::error_code> write(shared_table, std::string, std::string) override
@@ -62,6 +83,7 @@
     }
 
     int feeds = 0;
+    int lists = 0;
 
 private:
     daemon::awaitable<result<timestamped_batch>> respond(result<timestamped_batch> response,
@@ -78,6 +100,8 @@
     }
 
     boost::asio::io_context& context_;
+    feed_fault fault_;
+    std::set<shared_table> listed_;
 };
 
 /// \returns Two routers, of which \p self does not poll the table service for the other.
@@ -137,7 +161,7 @@
 {
     boost::asio::io_context context{1};
     const daemon::process_clock time;
-    failing_feed tables(context);
+    failing_feed tables(context, feed_fault::endpoints_refused);
     const router_id self("self");
     replication_service service(context, time, tables, self,
                                 source_choice({}, self, zone_id("zone-a")),
@@ -149,6 +173,28 @@
     REQUIRE(tables.feeds < 60);
 }
 
+// Load: the router that polls the table service for a fleet. Guards against calls without a pause
+// where every answer is sound and none tells anything new.
+TEST_CASE("answers that make no progress are followed by a pause")
+{
+    const feed_fault fault =
+        GENERATE(feed_fault::history_lost, feed_fault::older_list, feed_fault::early);
+    CAPTURE(static_cast<int>(fault));
+    boost::asio::io_context context{1};
+    const daemon::process_clock time;
+    failing_feed tables(context, fault);
+    const router_id self("self");
+    replication_service service(context, time, tables, self,
+                                source_choice({}, self, zone_id("zone-a")),
+                                make_callbacks(self, unused_port));
+    service.start(make_registrations(), false);
+    context.run_for(std::chrono::milliseconds(5000));
+    REQUIRE(service.is_complete());
+    REQUIRE(tables.feeds > 2);
+    REQUIRE(tables.feeds < 90);
+    REQUIRE(tables.lists < 90);
+}
+
 // Guards against two followers that a relay takes for one, because their names are cut at a
 // character that is reserved in a URL: the loads that they report replace each other.
 TEST_CASE("a follower tells a relay its whole name")
@@ -156,23 +202,22 @@
     const std::string name = "edge&zone=a 1";
     boost::asio::io_context context{1};
     std::string told;
-    daemon::http_server relay(
-        context, {},
-        [&](daemon::http_request request,
-            daemon::response_writer& writer) -> daemon::awaitable<void>
-        {
-            daemon::http_target target;
-            if (daemon::parse_target(request.target, target))
-            {
-                told = target.parameter("router");
-            }
-            writer.abort();
-            context.stop();
-            co_return;
-        });
+    daemon::http_server relay(context, {},
+                              [&](daemon::http_request request,
+                                  daemon::response_writer& writer) -> daemon::awaitable<void>
+                              {
+                                  daemon::http_target target;
+                                  if (daemon::parse_target(request.target, target))
+                                  {
+                                      told = target.parameter("router");
+                                  }
+                                  writer.abort();
+                                  context.stop();
+                                  co_return;
+                              });
     REQUIRE_FALSE(relay.listen({"127.0.0.1", 0}));
     const daemon::process_clock time;
-    failing_feed tables(context);
+    failing_feed tables(context, feed_fault::endpoints_refused);
     const router_id self(name);
     replication_service service(context, time, tables, self,
                                 source_choice({}, self, zone_id("zone-a")),
