--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -31,6 +31,9 @@
 /// Added to the response time of one in \ref slow_ratio requests, so that they outlast changes.
 constexpr std::uint64_t max_slow_ms = 2500;
 constexpr std::uint64_t slow_ratio = 12;
+/// Belongs to no request, since it names none.
+constexpr const char* unnamed_refusal =
+    "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 
 json::object make_route(const std::string& name, const std::string& prefix, const char* type,
                         bool resumable)
@@ -56,6 +59,12 @@
     return hash64(request) % limit;
 }
 
+/// \returns Whether an engine shows the other form of its behavior to a request.
+bool is_variant(const std::string& request)
+{
+    return derive_number(request + " variant", 2) == 0;
+}
+
 bool is_stream(const http_request& request)
 {
     return request.target.starts_with("/s/") || request.target.starts_with("/r/");
@@ -306,14 +315,16 @@
     }
     if (engine.behavior == engine_behavior::failing)
     {
-        reply.pieces.push_back(standin::make_response(request, 500, "failed"));
+        const int status = is_variant(id) ? 999 : 500;
+        reply.pieces.push_back(standin::make_response(request, status, "failed"));
         return reply;
     }
     if (engine.behavior == engine_behavior::mismatched)
     {
         http_request other;
         other.fields = {{"X-Attempt-Id", "of-somebody-else"}};
-        reply.pieces.push_back(standin::make_response(other, 200, "not yours"));
+        reply.pieces.push_back(is_variant(id) ? std::string(unnamed_refusal)
+                                              : standin::make_response(other, 200, "not yours"));
     }
     const bool truncated = engine.behavior == engine_behavior::truncated;
     reply.final_action = truncated ? engine_reply::connection_action::reset
@@ -335,6 +346,13 @@
     for (int n = standin::last_event_id(request) + 1; n <= count; ++n)
     {
         std::string chunk = standin::make_chunk(expected_event(id, n));
+        if (truncated && n == count && is_variant(id))
+        {
+            // The text of an error, and an orderly end.
+            reply.pieces.push_back(standin::make_chunk("internal error\n\n"));
+            reply.final_action = engine_reply::connection_action::keep_open;
+            break;
+        }
         if (truncated && n == count)
         {
             // The stream ends in the middle of the last event.
--- a/soak/fleet.hpp
+++ b/soak/fleet.hpp
@@ -34,9 +34,9 @@
 enum class engine_behavior
 {
     normal,
-    failing,    ///< Status 500 after the request ran.
-    truncated,  ///< The connection ends in the middle of the response.
-    mismatched, ///< The response to another request comes first.
+    failing,    ///< Status 500, or one that HTTP does not define, after the request ran.
+    truncated,  ///< The connection ends in the middle of the response, or an error ends a stream.
+    mismatched, ///< The response to another request, or a refusal of none, comes first.
     reset,      ///< The request runs, then the connection is reset.
     silent,     ///< The request runs without a response.
     full,       ///< The request is refused and does not run.
