--- a/tests/daemon_repeated_refusal_test.cpp
+++ b/tests/daemon_repeated_refusal_test.cpp
@@ -170,3 +170,54 @@
         });
     REQUIRE(calls == 2);
 }
+
+// Guards against an order that runs twice: a success that says that the request has not run is no
+// proof of it.
+TEST_CASE("a success that claims not to have run is neither delivered nor followed by another run")
+{
+    fleet f;
+    int runs = 0;
+    const auto contradict = [&](const http_request& request)
+    {
+        ++runs;
+        return keep_open(make_response(request, 200, "own", "X-Not-Executed: 1\r\n"));
+    };
+    f.add_engine("e1", contradict);
+    f.add_engine("e2", contradict);
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            const http_response order = co_await f.send_request("POST", "/o/");
+            REQUIRE(order.status == 502);
+            REQUIRE(runs == 1);
+        });
+}
+
+// Guards against a wait without end, or a second run, at an engine that repeats itself.
+TEST_CASE("an order is given up after many foreign refusals")
+{
+    fleet f;
+    int runs = 0;
+    const auto repeat = [&](const http_request& request)
+    {
+        ++runs;
+        std::string bytes;
+        for (int n = 0; n < 20; ++n)
+        {
+            bytes += make_refusal(503, n % 2 == 0 ? identity::none : identity::earlier, "length",
+                                  "earlier", {});
+        }
+        return keep_open(bytes + make_response(request, 200, "own"));
+    };
+    f.add_engine("e1", repeat);
+    f.add_engine("e2", repeat);
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            const http_response response = co_await f.send_request("POST", "/o/");
+            REQUIRE(response.status == 502);
+        });
+    REQUIRE(runs == 1);
+}
