--- a/tests/daemon_http_connection_test.cpp
+++ b/tests/daemon_http_connection_test.cpp
@@ -243,6 +243,20 @@
     REQUIRE_FALSE(f.connection.quiet());
 }
 
+// Guards against a status line that is read as another one.
+TEST_CASE("an answer with a malformed status line is refused")
+{
+    const std::string line =
+        GENERATE("HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 2 0 OK",
+                 "HTTP/1.1  200 OK", "HTTP/1.1 200OK", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK",
+                 "HTTP/11 200 OK", " HTTP/1.1 200 OK", "http/1.1 200 OK", "200 OK");
+    CAPTURE(line);
+    connection_fixture f;
+    f.respond(line + "\r\nContent-Length: 2\r\n\r\nok");
+    const result<http_response> head = f.run(f.connection.read_head(long_timeout));
+    REQUIRE_FALSE(head.has_value());
+}
+
 // Guards against an interim answer that passes for the final one.
 TEST_CASE("interim answers are skipped")
 {
