Drop the data of large rows that name no endpoint

A router kept whatever another writer left among the engines' records.

Before: daemon_store_client_test, "large rows that name no endpoint are kept without their data", failed. After: passes.

Conclusion: the memory of a table grows with its endpoints and with the number of rows, no longer with what others write into them.

--- a/tests/daemon_store_client_test.cpp
+++ b/tests/daemon_store_client_test.cpp
@@ -1,4 +1,5 @@
-// Lists of the platform's store that come in several pages.
+// Answers of the platform's store that are large: lists in several pages, rows of other writers,
+// and feeds with many changes.
 
 #include <platform/store_client.hpp>
 #include <standin/platform_store.hpp>
@@ -21,21 +22,29 @@
 constexpr int rows = 600; ///< More than a page holds.
 constexpr std::chrono::seconds list_timeout{5};
 
-/// Lists the endpoints' table; nothing if the list does not end.
-std::optional<result<serving::timestamped_batch>> list_endpoints(asio::io_context& context,
-                                                                 const standin::platform_store& s)
+using batch_result = result<serving::timestamped_batch>;
+
+/// Runs a call to its end; nothing if it does not end.
+std::optional<batch_result> run(asio::io_context& context, daemon::awaitable<batch_result> call)
 {
-    platform::store_client client(context.get_executor(), {"127.0.0.1", s.port()});
-    std::optional<result<serving::timestamped_batch>> listed;
-    asio::co_spawn(context, client.list(serving::shared_table::endpoints),
-                   [&](const std::exception_ptr&, result<serving::timestamped_batch> batch)
+    std::optional<batch_result> outcome;
+    asio::co_spawn(context, std::move(call),
+                   [&](const std::exception_ptr&, batch_result batch)
                    {
-                       listed = std::move(batch);
+                       outcome = std::move(batch);
                        context.stop();
                    });
     context.restart();
     context.run_for(list_timeout);
-    return listed;
+    return outcome;
+}
+
+std::optional<batch_result>
+list_table(asio::io_context& context, const standin::platform_store& s,
+           serving::shared_table table = serving::shared_table::endpoints)
+{
+    platform::store_client client(context.get_executor(), {"127.0.0.1", s.port()});
+    return run(context, client.list(table));
 }
 
 std::string make_key(const std::string& prefix, int n)
@@ -64,8 +73,7 @@
         {
             store.put("servers", make_key(prefix, n), "data");
         }
-        const std::optional<result<serving::timestamped_batch>> listed =
-            list_endpoints(context, store);
+        const std::optional<batch_result> listed = list_table(context, store);
         REQUIRE(listed.has_value());
         REQUIRE(listed->has_value());
         const std::vector<replicated_row>& found = (*listed)->batch.rows;
@@ -89,9 +97,47 @@
         store.put("servers", make_key("e", n), "data");
     }
     store.faults.repeat_pages = true;
-    const std::optional<result<serving::timestamped_batch>> listed = list_endpoints(context, store);
+    const std::optional<batch_result> listed = list_table(context, store);
     REQUIRE(listed.has_value());
     REQUIRE(listed->has_error());
     REQUIRE(listed->error() == errc::store_unavailable);
     REQUIRE(store.lists() <= 3);
 }
+
+// Guards against routers that exceed their memory because another writer leaves many large entries
+// among the records of the engines.
+TEST_CASE("large rows that name no endpoint are kept without their data")
+{
+    constexpr std::size_t row_bytes = 65000;
+    const std::string record =
+        R"({"service":"pool","address":"10.0.0.1:80","zone":"zone-a","version":"v1","slots":64,)"
+        R"("state":"ready","cold_left_ms":0,"sequence":1,"model_list":[")" +
+        std::string(row_bytes, 'm') + "\"]}";
+    asio::io_context context{1};
+    standin::platform_store store(context);
+    REQUIRE_FALSE(store.start());
+    store.put("servers", "large", std::string(row_bytes, 'x'));
+    store.put("servers", "named", record);
+    store.put("servers", "small", "x");
+    store.put("op", "config", std::string(row_bytes, 'x'));
+    const std::optional<batch_result> listed = list_table(context, store);
+    REQUIRE(listed.has_value());
+    REQUIRE(listed->has_value());
+    const std::vector<replicated_row>& found = (*listed)->batch.rows;
+    REQUIRE(found.size() == 3);
+    REQUIRE(found[0].key == "large");
+    REQUIRE(found[0].data.empty());
+    REQUIRE(found[1].data == record);
+    REQUIRE(found[2].data == "x");
+    platform::store_client client(context.get_executor(), {"127.0.0.1", store.port()});
+    const std::optional<batch_result> changes =
+        run(context, client.fetch_changes(serving::shared_table::endpoints, 0, millis{0}));
+    REQUIRE(changes.has_value());
+    REQUIRE(changes->has_value());
+    REQUIRE((*changes)->batch.rows[0].data.empty());
+    const std::optional<batch_result> operations =
+        list_table(context, store, serving::shared_table::operations);
+    REQUIRE(operations.has_value());
+    REQUIRE(operations->has_value());
+    REQUIRE((*operations)->batch.rows[0].data.size() == row_bytes);
+}
