--- a/tests/daemon_store_client_test.cpp
+++ b/tests/daemon_store_client_test.cpp
@@ -141,3 +141,26 @@
     REQUIRE(operations->has_value());
     REQUIRE((*operations)->batch.rows[0].data.size() == row_bytes);
 }
+
+// Guards against a copy that no longer follows the store: more changes at once than an answer may
+// hold made every later poll of the feed fail.
+TEST_CASE("a feed that is too large is followed by a list")
+{
+    asio::io_context context{1};
+    standin::platform_store store(context);
+    REQUIRE_FALSE(store.start());
+    for (int n = 0; n < 60; ++n)
+    {
+        store.put("servers", make_key("e", n), std::string(65536, 'x'));
+    }
+    platform::store_client client(context.get_executor(), {"127.0.0.1", store.port()});
+    const std::optional<batch_result> changes =
+        run(context, client.fetch_changes(serving::shared_table::endpoints, 0, millis{0}));
+    REQUIRE(changes.has_value());
+    REQUIRE(changes->has_error());
+    REQUIRE(changes->error() == errc::stale_view);
+    const std::optional<batch_result> listed = list_table(context, store);
+    REQUIRE(listed.has_value());
+    REQUIRE(listed->has_value());
+    REQUIRE((*listed)->batch.rows.size() == 60);
+}
