Let a stream go on only at the version that began it

Cause: no part compared versions. Within one answer a router went on at any endpoint; the field Resumes was not read and a take-up was placed at any endpoint. Change: the new module continuation knows at which version streams began, which versions may have begun one lately, and decides whether a take-up goes on. A row of the routers' table, versions/SERVICE, lists what served lately, for routers that start after a version has left. Conclusion: take-ups of known streams go on at their version; unknown ones are refused while two versions serve.

--- a/endivestage/core/error.cpp
+++ b/endivestage/core/error.cpp
@@ -83,6 +83,8 @@
         return "cancelled";
     case errc::prompt_quarantined:
         return "prompt_quarantined";
+    case errc::unknown_version:
+        return "unknown_version";
     case errc::internal:
         break;
     }
--- a/endivestage/core/error.hpp
+++ b/endivestage/core/error.hpp
@@ -42,6 +42,7 @@
     cancelled,
     internal,
     prompt_quarantined,
+    unknown_version,
 };
 
 /// \brief Whether a request was executed by an endpoint.
--- a/endivestage/routing/endpoint_directory.cpp
+++ b/endivestage/routing/endpoint_directory.cpp
@@ -331,6 +331,19 @@
     return found;
 }
 
+std::vector<const endpoint_record*> endpoint_directory::records(const service_id& service) const
+{
+    std::vector<const endpoint_record*> found;
+    for (auto it = endpoints_.begin(); it != endpoints_.end(); ++it)
+    {
+        if (it->second.record.service == service)
+        {
+            found.push_back(&it->second.record);
+        }
+    }
+    return found;
+}
+
 const endpoint_state* endpoint_directory::find(const endpoint_id& id) const
 {
     const auto it = endpoints_.find(id);
--- a/endivestage/routing/endpoint_directory.hpp
+++ b/endivestage/routing/endpoint_directory.hpp
@@ -177,6 +177,9 @@
     /// out of service, and with a record in the table or one that may be written again.
     std::vector<const endpoint_state*> available(const service_id& service, time_point now) const;
 
+    /// \returns The records of all endpoints of a service, of draining ones too.
+    std::vector<const endpoint_record*> records(const service_id& service) const;
+
     const endpoint_state* find(const endpoint_id& id) const;
 
     /// \returns The endpoint whose id has this hash; null without one.
--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -153,6 +153,11 @@
     service_ = choose_target(*route_, decoded_.chat_hash.value_or(hash64(decoded_.id.view())));
     profile_ = routes_->find_service(service_);
     watch_caller();
+    const bool may_begin = co_await find_stream_version();
+    if (!may_begin)
+    {
+        co_return;
+    }
     const bool has_room = co_await wait_for_room();
     if (has_room)
     {
@@ -284,6 +289,14 @@
     {
         return false;
     }
+    if (stream_version_)
+    {
+        const endpoint_state* current = state_.endpoints.find(endpoint.id);
+        if (current == nullptr || version_key(current->record) != *stream_version_)
+        {
+            return false;
+        }
+    }
     if (!state_.notices.is_leaving(endpoint) &&
         state_.notices.hold_off_left(endpoint, now) == millis{0})
     {
--- a/endivestage/serving/exchange.hpp
+++ b/endivestage/serving/exchange.hpp
@@ -70,6 +70,17 @@
     const endpoint_state* choose_endpoint();
     const endpoint_state* choose_among(std::span<const endpoint_state* const> endpoints);
     version_choice choose_versions(std::span<const endpoint_state* const> usable) const;
+    /// \brief Finds the version at which a stream that is taken up may go on.
+    /// \returns False when the exchange has ended with a refusal.
+    daemon::awaitable<bool> find_stream_version();
+    daemon::awaitable<std::optional<stream_origin>> find_origin();
+    bool is_target(const stream_origin& origin);
+    /// \brief Records at which version the stream of the present attempt goes on, before its first
+    /// event is delivered.
+    /// \returns False if that is another one than before.
+    bool record_stream_version();
+    std::vector<const endpoint_state*>
+    keep_stream_version(std::span<const endpoint_state* const> endpoints) const;
     bool may_run(const endpoint_record& endpoint) const;
     void begin_measuring(const endpoint_record& endpoint);
     void record_version_outcome(const endpoint_record& endpoint, endpoint_outcome outcome);
@@ -149,6 +160,12 @@
     std::optional<millis> first_return_;
     endpoint_id last_endpoint_;
     measured_attempt measured_;
+    std::uint64_t attempt_version_ = 0; ///< Key of the version of the present attempt's endpoint.
+    /// Key of the only version at which the stream may go on. Nothing before the first event, or
+    /// if its version is unknown.
+    std::optional<std::uint64_t> stream_version_;
+    /// Hash of the id under which other attempts know this stream; nothing if it names another one.
+    std::optional<std::uint64_t> stream_;
     received_response response_;
     std::string response_body_;
     buffer_share response_share_; ///< Memory of the answer that is being read.
--- a/endivestage/serving/exchange_attempt.cpp
+++ b/endivestage/serving/exchange_attempt.cpp
@@ -129,6 +129,7 @@
     response_share_.release();
     beyond_first_event_ = false;
     begin_measuring(endpoint);
+    attempt_version_ = version_key(endpoint);
     connection_->send(state_.codec.encode_request(request_, info), body_);
     const endpoint_outcome outcome = co_await read_response(endpoint, max_wait);
     if (outcome == endpoint_outcome::broken)
--- a/endivestage/serving/exchange_response.cpp
+++ b/endivestage/serving/exchange_response.cpp
@@ -153,6 +153,10 @@
         std::string events = end ? framer_.take_remainder() : framer_.add(*chunk);
         if (!events.empty())
         {
+            if (first && !record_stream_version())
+            {
+                co_return endpoint_outcome::broken;
+            }
             if (first)
             {
                 measured_.first_event =
--- a/endivestage/serving/exchange_versions.cpp
+++ b/endivestage/serving/exchange_versions.cpp
@@ -1,5 +1,8 @@
 #include <endivestage/serving/exchange.hpp>
 
+#include <endivestage/daemon/logging.hpp>
+
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <utility>
@@ -44,22 +47,148 @@
 
 version_choice exchange::choose_versions(std::span<const endpoint_state* const> usable) const
 {
+    const std::vector<const endpoint_state*> allowed = keep_stream_version(usable);
     const traffic_rule* rule = state_.rollouts.rule(service_);
     if (rule == nullptr)
     {
         version_choice all;
-        all.preferred.assign(usable.begin(), usable.end());
+        all.preferred = allowed;
         return all;
     }
     std::optional<std::string> pinned;
-    if (history_.response_started)
+    if (stream_version_ && !allowed.empty())
     {
-        pinned = measured_.version;
+        pinned = allowed.front()->record.version;
     }
-    return choose_version(*rule, usable, tried_,
+    return choose_version(*rule, allowed, tried_,
                           decoded_.chat_hash.value_or(hash64(decoded_.id.view())), pinned);
 }
 
+std::vector<const endpoint_state*>
+exchange::keep_stream_version(std::span<const endpoint_state* const> endpoints) const
+{
+    std::vector<const endpoint_state*> kept;
+    const bool unknown = history_.response_started && !stream_version_;
+    if (unknown)
+    {
+        return kept;
+    }
+    std::copy_if(endpoints.begin(), endpoints.end(), std::back_inserter(kept),
+                 [&](const endpoint_state* endpoint)
+                 { return !stream_version_ || version_key(endpoint->record) == *stream_version_; });
+    return kept;
+}
+
+bool exchange::is_target(const stream_origin& origin)
+{
+    return std::any_of(route_->targets.begin(), route_->targets.end(),
+                       [&](const route_target& target)
+                       { return hash64(target.service.view()) == origin.service; });
+}
+
+awaitable<std::optional<stream_origin>> exchange::find_origin()
+{
+    if (!decoded_.first_attempt)
+    {
+        co_return std::nullopt;
+    }
+    const std::uint64_t stream = hash64(decoded_.first_attempt->view());
+    std::optional<stream_origin> origin = state_.origins.find(stream, state_.time.now());
+    // With one version the answer would change nothing.
+    if (!origin && state_.versions.is_mixed(service_) && state_.origin_exchange != nullptr)
+    {
+        origin = co_await state_.origin_exchange->find(stream);
+    }
+    // A stream of another service must not be renamed by what a caller says.
+    if (!origin || is_target(*origin))
+    {
+        stream_ = stream;
+    }
+    co_return origin;
+}
+
+awaitable<bool> exchange::find_stream_version()
+{
+    if (!route_->streaming)
+    {
+        co_return true;
+    }
+    if (!decoded_.takes_up)
+    {
+        stream_ = hash64(decoded_.id.view());
+        co_return true;
+    }
+    state_.versions.refresh(service_, state_.endpoints, state_.time.now());
+    const std::optional<stream_origin> origin = co_await find_origin();
+    if (caller_left_)
+    {
+        end_without_caller();
+        co_return false;
+    }
+    if (origin)
+    {
+        // The weights of a split route may have changed since.
+        for (const route_target& target : route_->targets)
+        {
+            if (hash64(target.service.view()) == origin->service && target.service != service_)
+            {
+                service_ = target.service;
+                profile_ = routes_->find_service(service_);
+            }
+        }
+    }
+    const std::vector<std::uint64_t> versions = state_.versions.versions(service_);
+    const take_up_decision decision = decide_take_up(origin, hash64(service_.view()), versions);
+    const std::string_view step = !decision.goes_on ? "refused" : origin ? "known" : "only_version";
+    state_.metrics.record_take_up(step);
+    daemon::log_event(daemon::log_level::info, "stream_taken_up",
+                      {{"request", decoded_.id},
+                       {"service", service_},
+                       {"first_attempt", decoded_.first_attempt.value_or(request_id())},
+                       {"step", step},
+                       {"versions", versions.size()},
+                       {"waited_ms", state_.time.now() - request_.received}});
+    if (!decision.goes_on)
+    {
+        // Not known to any router that was asked, so there is no hurry to ask again.
+        co_await send_error(503, errc::unknown_version, execution::not_run,
+                            std::max(millis{0}, time_left() / 3));
+        co_return false;
+    }
+    stream_version_ = decision.version;
+    co_return true;
+}
+
+bool exchange::record_stream_version()
+{
+    const endpoint_state* endpoint = state_.endpoints.find(last_endpoint_);
+    const bool restarted = endpoint != nullptr && version_key(endpoint->record) != attempt_version_;
+    const bool has_events = history_.response_started || decoded_.takes_up;
+    if (has_events)
+    {
+        // Without a version only one can have begun the stream, and this endpoint runs it.
+        if (restarted || (stream_version_ && *stream_version_ != attempt_version_))
+        {
+            return false;
+        }
+    }
+    if (restarted)
+    {
+        return true;
+    }
+    stream_version_ = attempt_version_;
+    if (stream_)
+    {
+        const known_origin known{*stream_, {hash64(service_.view()), attempt_version_}};
+        state_.origins.record(known.stream, known.origin, state_.time.now(), true);
+        if (state_.versions.is_mixed(service_) && state_.origin_exchange != nullptr)
+        {
+            state_.origin_exchange->tell(known);
+        }
+    }
+    return true;
+}
+
 bool exchange::may_run(const endpoint_record& endpoint) const
 {
     const traffic_rule* rule = state_.rollouts.rule(service_);
--- a/endivestage/serving/peer_service.cpp
+++ b/endivestage/serving/peer_service.cpp
@@ -200,6 +200,15 @@
     {
         return;
     }
+    if (datagram.starts_with(origin_tag))
+    {
+        if (origins_callback_)
+        {
+            const daemon::network_address sender{sender_.address().to_string(), sender_.port()};
+            origins_callback_(datagram, sender);
+        }
+        return;
+    }
     const result<packet> content = decode_packet(datagram);
     if (content)
     {
@@ -340,6 +349,11 @@
     }
 }
 
+void peer_service::send_origins(const daemon::network_address& router, std::string_view datagram)
+{
+    send_datagram(router.host, router.port, datagram);
+}
+
 void peer_service::update(std::span<const replicated_row> rows)
 {
     for (const replicated_row& row : rows)
--- a/endivestage/serving/peer_service.hpp
+++ b/endivestage/serving/peer_service.hpp
@@ -96,6 +96,18 @@
         rollout_counts_callback_ = std::move(callback);
     }
 
+    /// \brief Sends a datagram that begins with \ref origin_tag.
+    void send_origins(const daemon::network_address& router, std::string_view datagram);
+
+    /// \brief Sets the callback for such datagrams; its second argument is the sender.
+    void on_origins(std::function<void(std::string_view, const daemon::network_address&)> callback)
+    {
+        origins_callback_ = std::move(callback);
+    }
+
+    /// First byte of datagrams about where streams began.
+    static constexpr char origin_tag = 'O';
+
     /// \brief Sets the callback for changes of the set of routers or of their state.
     void on_change(std::function<void()> callback) { change_callback_ = std::move(callback); }
 
@@ -135,6 +147,7 @@
     std::function<void(const group_sums&)> sums_callback_;
     std::function<void(const part_report&)> part_report_callback_;
     std::function<void(std::uint64_t, std::string_view)> rollout_counts_callback_;
+    std::function<void(std::string_view, const daemon::network_address&)> origins_callback_;
     std::uint64_t bytes_sent_ = 0;
 };
 
--- a/endivestage/serving/router_metrics.cpp
+++ b/endivestage/serving/router_metrics.cpp
@@ -42,6 +42,15 @@
         .add();
 }
 
+void router_metrics::record_take_up(std::string_view step)
+{
+    registry_
+        .get_counter("endivestage_stream_take_ups_total",
+                     "Streams that callers take up, by what follows.",
+                     {{"step", std::string(step)}})
+        .add();
+}
+
 void router_metrics::record_first_event(millis latency)
 {
     registry_
--- a/endivestage/serving/router_metrics.hpp
+++ b/endivestage/serving/router_metrics.hpp
@@ -49,6 +49,9 @@
     /// \brief Counts what an endpoint said of itself in an answer.
     /// \param kind "leaving", "hold_off" or "malformed".
     void record_notice(std::string_view kind);
+    /// \brief Counts a stream that its caller takes up.
+    /// \param step "known" or "only_version" if it goes on, "refused" otherwise.
+    void record_take_up(std::string_view step);
     /// \param latency Time from the first byte of the request to the first event of its stream.
     void record_first_event(millis latency);
     /// \brief Counts a load report with an unknown number of figures.
--- a/endivestage/serving/router_state.hpp
+++ b/endivestage/serving/router_state.hpp
@@ -2,10 +2,12 @@
 /// \brief State that the components of a router share.
 #pragma once
 
+#include <endivestage/continuation.hpp>
 #include <endivestage/core.hpp>
 #include <endivestage/rollout.hpp>
 #include <endivestage/routing.hpp>
 #include <endivestage/serving/connection_pool.hpp>
+#include <endivestage/serving/origin_service.hpp>
 #include <endivestage/serving/overload_control.hpp>
 #include <endivestage/serving/router_metrics.hpp>
 #include <endivestage/serving/start_gate.hpp>
@@ -127,6 +129,9 @@
     overload_control overload;
     lifecycle_state lifecycle = lifecycle_state::starting;
     std::size_t open_requests = 0;
+    stream_origins origins;
+    version_history versions;
+    origin_service* origin_exchange = nullptr; ///< Null until the other routers are known.
     rollout_book rollouts;
     /// Responses during roll-outs that no relay has counted yet.
     std::map<service_id, evidence_counts> rollout_evidence;
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -241,6 +241,9 @@
         context_.stop();
         co_return;
     }
+    origin_service_ =
+        std::make_unique<origin_service>(context_, time_, state_.origins, *peer_service_);
+    state_.origin_exchange = origin_service_.get();
     source_choice_config choice_config;
     choice_config.timing = replication_timing::for_change_delay(state_.max_change_delay());
     source_choice choice(choice_config, settings_.name, settings_.zone);
@@ -362,6 +365,7 @@
               {{"version", routes.version()}, {"routes", routes.routes().size()}});
     state_.routes = std::make_shared<const route_table>(std::move(routes));
     caller_server_.set_limits(to_http_limits(state_.routes->limits(), settings_));
+    set_stream_lifetime();
 }
 
 void server::update_routers()
--- a/endivestage/serving/server.hpp
+++ b/endivestage/serving/server.hpp
@@ -112,6 +112,13 @@
     void apply_routes(route_table routes);
     void apply_routers(std::span<const replicated_row> rows);
     void apply_quarantine_row(std::uint64_t part, const replicated_row& row);
+    void apply_version_row(const service_id& service, const replicated_row& row);
+    /// \brief Notes an endpoint's version; tells other routers of this one's streams when it is the
+    /// second of the service.
+    void record_version(const endpoint_record& endpoint);
+    void maintain_versions();
+    void set_stream_lifetime();
+    daemon::awaitable<void> store_versions(version_row row);
     void write_quarantine_records(time_point now);
     daemon::awaitable<void> store_quarantine(quarantine_record record);
     daemon::awaitable<void> erase_quarantine(std::uint64_t part);
@@ -136,11 +143,13 @@
     daemon::http_server peer_server_;
     daemon::http_server metrics_server_;
     std::unique_ptr<peer_service> peer_service_;
+    std::unique_ptr<origin_service> origin_service_;
     std::unique_ptr<replication_service> replication_;
     rollout_service rollout_service_;
     std::set<zone_id> zones_out_of_service_;
     planned_stop planned_stop_;
     quarantine_records quarantine_records_;
+    time_point versions_refreshed_at_{-1000000};
     bool stopping_ = false;
     std::uint64_t rotation_ = 0;
 };
--- a/endivestage/serving/server_maintenance.cpp
+++ b/endivestage/serving/server_maintenance.cpp
@@ -105,6 +105,7 @@
         co_await daemon::sleep_for(maintenance_interval);
         record_loop_delay(time_.now() - due);
         state_.pool.expire();
+        maintain_versions();
         daemon::flush_log();
         for (const endpoint_id& returned : state_.notices.expire(state_.endpoints, time_.now()))
         {
--- a/endivestage/serving/server_tables.cpp
+++ b/endivestage/serving/server_tables.cpp
@@ -3,6 +3,7 @@
 #include <endivestage/daemon/logging.hpp>
 #include <endivestage/serving/quarantine_rows.hpp>
 #include <endivestage/serving/rollout_rows.hpp>
+#include <endivestage/serving/version_rows.hpp>
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -49,17 +50,22 @@
     }
 }
 
-// The routers' table also has records of quarantined parts and of roll-outs.
+// The routers' table also has records of quarantined parts, of roll-outs and of versions.
 void server::apply_routers(std::span<const replicated_row> rows)
 {
     std::vector<replicated_row> routers;
     for (const replicated_row& row : rows)
     {
         const std::optional<std::uint64_t> part = parse_quarantine_row_key(row.key);
+        const std::optional<service_id> versions = parse_version_row_key(row.key);
         if (parse_rollout_row_key(row.key))
         {
             rollout_service_.apply_record(row);
         }
+        else if (versions)
+        {
+            apply_version_row(*versions, row);
+        }
         else if (part)
         {
             apply_quarantine_row(*part, row);
@@ -240,6 +246,11 @@
     for (const replicated_row& row : rows)
     {
         const endpoint_id id(row.key);
+        const endpoint_state* known = state_.endpoints.find(id);
+        if (known != nullptr)
+        {
+            record_version(known->record);
+        }
         if (row.deleted)
         {
             state_.endpoints.remove(id, now, rewritten_by);
@@ -258,6 +269,7 @@
             continue;
         }
         state_.endpoints.update(*record, now);
+        record_version(*record);
         log_event(
             log_level::info, "endpoint_updated",
             {{"endpoint", id}, {"draining", record->draining}, {"cold_ms", record->cold_left}});
--- a/endivestage/serving/wire_codec.hpp
+++ b/endivestage/serving/wire_codec.hpp
@@ -28,8 +28,12 @@
     std::optional<millis> timeout;              ///< Time that the caller waits for the response.
     std::optional<std::uint64_t> chat_hash;     ///< Hash of the chat that the request continues.
     std::optional<std::uint64_t> last_event_id; ///< Last event received before the stream broke.
-    std::vector<prompt_part> shared_prompt;     ///< Parts that other requests may share, in order.
-    std::uint32_t prompt_tokens = 0;            ///< Tokens of the prompt; 0 when unknown.
+    /// The caller has events of this stream from an earlier attempt.
+    bool takes_up = false;
+    /// Attempt that brought the stream's first event; nothing unless it is stated in a valid form.
+    std::optional<request_id> first_attempt;
+    std::vector<prompt_part> shared_prompt; ///< Parts that other requests may share, in order.
+    std::uint32_t prompt_tokens = 0;        ///< Tokens of the prompt; 0 when unknown.
 };
 
 /// \brief Metadata that a router adds to a request that it forwards to an endpoint.
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -351,3 +351,36 @@
     REQUIRE(pinned.preferred.front()->record.version == "v1");
     REQUIRE(pinned.fallback.empty());
 }
+
+// Guards against a stream that goes on at a version which was given up, or at another one instead,
+// after a roll-out has ended or was reverted.
+TEST_CASE("a stream goes on neither at a version that may not run nor at another one")
+{
+    endpoint_directory directory;
+    for (const std::string version : {"v1", "v2"})
+    {
+        endpoint_record record;
+        record.id = endpoint_id("e-" + version);
+        record.service = service_id("pool");
+        record.version = version;
+        directory.update(record, {0});
+    }
+    const std::vector<const endpoint_state*> endpoints =
+        directory.available(service_id("pool"), {1});
+    REQUIRE(endpoints.size() == 2);
+    traffic_rule completed;
+    completed.to = "v2";
+    completed.new_share = 1.0;
+    completed.old_allowed = false;
+    traffic_rule reverted;
+    reverted.to = "v2";
+    const std::vector<std::pair<traffic_rule, std::string>> gone{{completed, "v1"},
+                                                                 {reverted, "v2"}};
+    for (const std::pair<traffic_rule, std::string>& entry : gone)
+    {
+        const version_choice choice =
+            choose_version(entry.first, endpoints, {}, 1, std::optional<std::string>(entry.second));
+        REQUIRE(choice.preferred.empty());
+        REQUIRE(choice.fallback.empty());
+    }
+}
