Let the soak play two versions and take streams up

Cause: the soak's engines all ran one version, and its callers dropped a stream that had broken off. Change: engines of two versions serve side by side, in one run of four the second one comes later; a crashed engine may return with the other version. Callers take a broken stream up at any router, and one_version is checked on the joined events.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -4,6 +4,8 @@
 #include <endivestage/daemon/sleep.hpp>
 
 #include <algorithm>
+#include <cstdlib>
+#include <set>
 #include <utility>
 
 namespace endivestage::soak
@@ -47,6 +49,36 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+constexpr std::string_view event_end = "\n\n";
+constexpr std::string_view id_line = "id: ";
+
+/// \returns The text up to the end of the last whole event.
+std::string keep_whole_events(const std::string& text)
+{
+    const std::size_t end = text.rfind(event_end);
+    return end == std::string::npos ? std::string() : text.substr(0, end + event_end.size());
+}
+
+/// \returns The versions of the engines that made the events.
+std::set<std::string> versions_in(const std::string& events)
+{
+    std::set<std::string> found;
+    for (std::size_t end = events.find(event_end); end != std::string::npos;
+         end = events.find(event_end, end + 1))
+    {
+        const std::size_t begin = events.rfind(' ', end) + 1;
+        found.insert(events.substr(begin, end - begin));
+    }
+    return found;
+}
+
+/// \returns Number of the last event, or 0 without one.
+int last_event_in(const std::string& events)
+{
+    const std::size_t at = events.rfind(id_line);
+    return at == std::string::npos ? 0 : std::atoi(events.c_str() + at + id_line.size());
+}
+
 } // namespace
 
 caller::caller(asio::io_context& context, soak_fleet& fleet, std::size_t number)
@@ -150,6 +182,7 @@
     for (;;)
     {
         const result<std::string> part = co_await connection_->read_some(answer_timeout);
+        received.events = keep_whole_events(text);
         if (!part)
         {
             if (fleet_.now() - sent_at + clock_resolution >= soak_fleet::route_timeout)
@@ -170,14 +203,75 @@
             co_return received;
         }
     }
+    received.outcome = caller_outcome::served;
+    received.complete = received.events == text && is_expected(id, text);
+    co_return received;
+}
+
+bool caller::is_expected(const std::string& stream, const std::string& events)
+{
+    const std::set<std::string> versions = versions_in(events);
     std::string expected;
-    for (int n = 1; n <= soak_fleet::event_count(id); ++n)
+    for (int n = 1; n <= soak_fleet::event_count(stream) && versions.size() == 1; ++n)
     {
-        expected += soak_fleet::expected_event(id, n);
+        expected += soak_fleet::make_event(stream, n, *versions.begin());
+    }
+    return events == expected;
+}
+
+http_request caller::make_request(const std::string& id, const std::string& key, const char* method,
+                                  const char* target)
+{
+    http_request request;
+    request.method = method;
+    request.target = target;
+    request.fields.emplace_back("Host", "soak.example");
+    request.fields.emplace_back("X-Attempt-Id", id);
+    request.fields.emplace_back("X-Deadline-Ms", std::to_string(request_timeout.count));
+    request.fields.emplace_back("Authorization", "Bearer " + key);
+    return request;
+}
+
+awaitable<void> caller::take_up(std::string first_attempt, std::string events, std::string key)
+{
+    if (addresses_.empty())
+    {
+        co_return;
+    }
+    connected_to_ = addresses_[random_.below(addresses_.size())];
+    connection_ = std::make_shared<http_connection>(context_.get_executor());
+    const std::error_code ec =
+        co_await connection_->connect(connected_to_, connect_timeout, idle_timeout);
+    if (ec)
+    {
+        connection_.reset();
+        co_return;
+    }
+    const std::string id = name_ + "-" + std::to_string(++sent_count_);
+    http_request request = make_request(id, key, "POST", "/r/note");
+    add_chat(request, first_attempt);
+    request.fields.emplace_back("Last-Event-Id", std::to_string(last_event_in(events)));
+    request.fields.emplace_back("Resumes", first_attempt);
+    fleet_.checker.record_sent(id, request_kind::resumable, key, fleet_.now());
+    connection_->send(std::move(request));
+    exchange_result received = co_await receive(id, request_kind::resumable);
+    const std::string joined = events + received.events;
+    fleet_.checker.record_versions(first_attempt, versions_in(joined));
+    // The events of this attempt are only the rest of the stream.
+    received.complete = is_expected(first_attempt, joined);
+    if (received.abandoned)
+    {
+        fleet_.checker.record_abandoned(id);
+    }
+    else if (received.outcome != caller_outcome::no_answer)
+    {
+        fleet_.checker.record_outcome(id, received.outcome, received.complete, false, fleet_.now());
+    }
+    if (received.outcome == caller_outcome::no_answer ||
+        received.outcome == caller_outcome::timed_out)
+    {
+        connection_.reset();
     }
-    received.outcome = caller_outcome::served;
-    received.complete = text == expected;
-    co_return received;
 }
 
 awaitable<caller::exchange_result> caller::receive(std::string id, request_kind kind)
@@ -220,17 +314,10 @@
     const std::vector<std::string>& usable_keys =
         random_.below(10) == 0 ? fleet_.all_keys : fleet_.keys;
     const std::string key = usable_keys[random_.below(usable_keys.size())];
-    http_request request;
-    request.method = chosen.method;
-    request.target = chosen.target;
-    request.fields.emplace_back("Host", "soak.example");
-    request.fields.emplace_back("X-Attempt-Id", id);
-    request.fields.emplace_back("X-Deadline-Ms", std::to_string(request_timeout.count));
-    request.fields.emplace_back("Authorization", "Bearer " + key);
+    http_request request = make_request(id, key, chosen.method, chosen.target);
     if (chosen.kind == request_kind::stream || chosen.kind == request_kind::resumable)
     {
-        const std::string chat = std::to_string(random_.below(30));
-        request.fields.emplace_back("X-Prefix-Hash", "aa:400,c" + chat + ":900,f" + id + ":20");
+        add_chat(request, id);
     }
     soak_router* router = find_router(connected_to_);
     fleet_.checker.record_sent(id, chosen.kind, key, fleet_.now());
@@ -257,12 +344,26 @@
     {
         connection_.reset();
     }
+    fleet_.checker.record_versions(id, versions_in(received.events));
+    const bool broke_off =
+        received.outcome == caller_outcome::no_answer && !received.events.empty();
+    if (broke_off && chosen.kind == request_kind::resumable && !received.abandoned)
+    {
+        co_await take_up(id, received.events, key);
+    }
     if (received.outcome == caller_outcome::refused || received.outcome == caller_outcome::failed)
     {
         co_await daemon::sleep_for(millis{200});
     }
 }
 
+void caller::add_chat(http_request& request, const std::string& id)
+{
+    constexpr std::uint64_t chats = 30;
+    request.fields.emplace_back("X-Prefix-Hash", "aa:400,c" + std::to_string(hash64(id) % chats) +
+                                                     ":900,f" + id + ":20");
+}
+
 /// Callers that keep a connection often use it again when routers are about to close it.
 millis caller::choose_pause()
 {
--- a/soak/caller.hpp
+++ b/soak/caller.hpp
@@ -29,6 +29,7 @@
         caller_outcome outcome = caller_outcome::no_answer;
         bool complete = false;  ///< Whether the response has exactly the expected bytes.
         bool abandoned = false; ///< The caller disconnected in the middle of a stream.
+        std::string events;     ///< Whole events of a stream.
     };
 
     daemon::awaitable<void> refresh_addresses();
@@ -36,6 +37,12 @@
     daemon::awaitable<void> send_request();
     daemon::awaitable<exchange_result> receive(std::string id, request_kind kind);
     daemon::awaitable<exchange_result> receive_events(std::string id, time_point sent_at);
+    /// \brief Takes a stream up that broke off, at any router, and checks the joined events.
+    daemon::awaitable<void> take_up(std::string first_attempt, std::string events, std::string key);
+    static daemon::http_request make_request(const std::string& id, const std::string& key,
+                                             const char* method, const char* target);
+    static void add_chat(daemon::http_request& request, const std::string& id);
+    static bool is_expected(const std::string& stream, const std::string& events);
     millis choose_pause();
     soak_router* find_router(const daemon::network_address& address);
 
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -223,6 +223,7 @@
     co_await daemon::sleep_for(random_duration(500, 3000));
     engine->link->set_fault(link_fault::none);
     engine->incarnation += 1000000;
+    engine->version = fleet_.random_version();
     fleet_.write_engine_record(*engine);
     end_fault();
 }
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -23,6 +23,7 @@
 constexpr std::uint16_t metrics_port = 9464;
 constexpr std::uint16_t peer_port = 7340;
 constexpr std::array<const char*, 3> zones{"zone-a", "zone-b", "zone-c"};
+constexpr std::array<const char*, 2> versions{"v1", "v2"};
 constexpr millis cold_period{3000};
 constexpr int event_count_limit = 12; // Exclusive.
 
@@ -159,6 +160,9 @@
     engine.id = "engine-" + std::to_string(number);
     engine.zone = zones[number % zones.size()];
     engine.incarnation = 1000 + static_cast<std::int64_t>(number);
+    // In one run of four a second version comes only later.
+    const bool mixed = settings_.seed % 4 != 0 || number > settings_.engine_count;
+    engine.version = mixed ? versions[number % versions.size()] : versions.front();
     engine.server = std::make_unique<standin::platform_engine>(
         context_,
         [this, &engine](const http_request& request) { return respond(engine, request); });
@@ -183,7 +187,7 @@
         {"service", "pool"},
         {"address", "127.0.0.1:" + std::to_string(engine.link->port())},
         {"zone", engine.zone},
-        {"version", "v1"},
+        {"version", engine.version},
         {"slots", 32},
         {"state", engine.draining ? "draining" : "ready"},
         {"cold_left_ms", std::max<std::int64_t>(0, (engine.cold_until - now()).count)},
@@ -276,10 +280,16 @@
     return 3 + static_cast<int>(derive_number(request, event_count_limit - 3));
 }
 
-std::string soak_fleet::expected_event(const std::string& request, int number)
+std::string soak_fleet::make_event(const std::string& request, int number,
+                                   const std::string& version)
 {
     return "id: " + std::to_string(number) + "\ndata: " + request + "/" + std::to_string(number) +
-           (number == event_count(request) ? " last" : "") + "\n\n";
+           (number == event_count(request) ? " last" : "") + "\ndata: " + version + "\n\n";
+}
+
+std::string soak_fleet::random_version()
+{
+    return versions[random.below(versions.size())];
 }
 
 engine_reply soak_fleet::respond(soak_engine& engine, const http_request& request)
@@ -342,10 +352,12 @@
     // The delay comes before each piece: events, head and end.
     reply.delay = millis{20 + static_cast<std::int64_t>(slow_ms) / (event_count_limit + 2)};
     reply.pieces.push_back(standin::make_stream_head(request));
-    const int count = event_count(id);
+    const std::string first_attempt(daemon::find_field(request.fields, "Resumes"));
+    const std::string stream = first_attempt.empty() ? id : first_attempt;
+    const int count = event_count(stream);
     for (int n = standin::last_event_id(request) + 1; n <= count; ++n)
     {
-        std::string chunk = standin::make_chunk(expected_event(id, n));
+        std::string chunk = standin::make_chunk(make_event(stream, n, engine.version));
         if (truncated && n == count && is_variant(id))
         {
             // The text of an error, and an orderly end.
--- a/soak/fleet.hpp
+++ b/soak/fleet.hpp
@@ -61,6 +61,7 @@
     std::string id;
     std::string zone;
     std::int64_t incarnation = 0; ///< Grows with each simulated restart.
+    std::string version;
     engine_behavior behavior = engine_behavior::normal;
     std::unique_ptr<standin::platform_engine> server;
     std::unique_ptr<standin::fault_proxy> link;
@@ -98,13 +99,18 @@
     /// \brief Writes the record of an engine to the store, as an engine does periodically.
     void write_engine_record(const soak_engine& engine);
 
+    /// \returns One of the two versions that serve side by side.
+    std::string random_version();
+
     /// \brief Writes the next version of the configuration, with random limits and sometimes many
     /// more routes.
     void write_configuration();
 
     /// \returns The body that the response to a request must have.
     static std::string expected_body(const std::string& request);
-    static std::string expected_event(const std::string& request, int number);
+    /// \param version Of the engine that makes the event.
+    static std::string make_event(const std::string& request, int number,
+                                  const std::string& version);
     static int event_count(const std::string& request);
 
     static daemon::network_address caller_address(const soak_router& router);
--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -148,6 +148,15 @@
     report("process_runs", router, "status " + std::to_string(status));
 }
 
+void promise_checker::record_versions(const std::string& request,
+                                      const std::set<std::string>& versions)
+{
+    if (versions.size() > 1)
+    {
+        report("one_version", request, std::to_string(versions.size()) + " versions");
+    }
+}
+
 void promise_checker::record_failed_recovery(const request_counts& counts)
 {
     report("recovery", "-",
--- a/soak/promises.hpp
+++ b/soak/promises.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -88,6 +89,10 @@
     /// \brief Records that the caller disconnected before the response was complete.
     void record_abandoned(const std::string& request) { requests_[request].abandoned = true; }
 
+    /// \brief Records the versions of the engines that made the events of a stream, over all
+    /// attempts of its caller.
+    void record_versions(const std::string& request, const std::set<std::string>& versions);
+
     /// \brief Records that a key was withdrawn, once the store holds the change.
     void record_key_withdrawn(const std::string& key, time_point now);
     void record_key_restored(const std::string& key) { withdrawn_.erase(key); }
--- a/tests/daemon_stream_versions_test.cpp
+++ b/tests/daemon_stream_versions_test.cpp
@@ -24,10 +24,13 @@
     return events;
 }
 
-/// A new stream breaks off after two events; one that is taken up is completed.
-standin::platform_engine::response_function respond_in_parts(const std::string& version)
+/// A new stream ends after two events; one that is taken up is completed.
+/// \param end_of_new What follows the two events.
+standin::platform_engine::response_function respond_in_parts(
+    const std::string& version,
+    engine_reply::connection_action end_of_new = engine_reply::connection_action::close)
 {
-    return [version](const http_request& request)
+    return [version, end_of_new](const http_request& request)
     {
         const int last = standin::last_event_id(request);
         engine_reply reply;
@@ -35,7 +38,7 @@
         if (last == 0)
         {
             reply.pieces.push_back(make_chunk(make_events(version, 1, 2)));
-            reply.final_action = engine_reply::connection_action::close;
+            reply.final_action = end_of_new;
             reply.delay = millis{5};
             return reply;
         }
@@ -48,15 +51,7 @@
 /// A new stream stays open after two events, so that its caller leaves.
 standin::platform_engine::response_function respond_and_hang(const std::string& version)
 {
-    return [version, parts = respond_in_parts(version)](const http_request& request)
-    {
-        engine_reply reply = parts(request);
-        if (reply.final_action == engine_reply::connection_action::close)
-        {
-            reply.final_action = engine_reply::connection_action::hang;
-        }
-        return reply;
-    };
+    return respond_in_parts(version, engine_reply::connection_action::hang);
 }
 
 /// \returns The versions in the events of a stream, without repetition.
--- a/tests/soak_promises_test.cpp
+++ b/tests/soak_promises_test.cpp
@@ -101,6 +101,18 @@
     REQUIRE(checker.violations().size() == 1);
 }
 
+// Guards against joined streams that nobody notices.
+TEST_CASE("a stream of two versions is reported")
+{
+    promise_checker checker;
+    checker.record_versions("r1", {"v1"});
+    checker.record_versions("r2", {});
+    REQUIRE(checker.violations().empty());
+    checker.record_versions("r3", {"v1", "v2"});
+    REQUIRE(checker.violations().size() == 1);
+    REQUIRE(checker.violations().front().promise == "one_version");
+}
+
 // Guards against false alarms for observations that the promises allow.
 TEST_CASE("allowed observations are not reported")
 {
--- a/tests/stream_versions_test.cpp
+++ b/tests/stream_versions_test.cpp
@@ -226,8 +226,10 @@
 // that are left must still be among those that are asked.
 TEST_CASE("holders that are left are asked after others were killed")
 {
+    constexpr int count = 9;
     std::vector<router_id> routers;
-    for (int n = 0; n < 9; ++n)
+    routers.reserve(count);
+    for (int n = 0; n < count; ++n)
     {
         routers.emplace_back("r" + std::to_string(n));
     }
