--- a/tests/daemon_replication_test.cpp
+++ b/tests/daemon_replication_test.cpp
@@ -3,6 +3,7 @@
 #include <endivestage/daemon/http_server.hpp>
 #include <endivestage/daemon/process_clock.hpp>
 #include <endivestage/serving/replication_service.hpp>
+#include <standin/platform_engine.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -249,7 +250,7 @@
         {
             response.batch.rows = {{"e1", "ready", 2, false}};
         }
-        co_return co_await respond(std::move(response), response_time);
+        return respond(std::move(response), response_time);
     }
 
     daemon::awaitable<result<timestamped_batch>>
@@ -263,7 +264,7 @@
             response.batch.revision = 3;
             response.batch.rows = {{"e1", {}, 3, true}};
         }
-        co_return co_await respond(std::move(response), removed ? response_time : max_wait);
+        return respond(std::move(response), removed ? response_time : max_wait);
     }
 
     daemon::awaitable<std::error_code> write(shared_table, std::string, std::string) override
@@ -300,12 +301,14 @@
     bool was_cut_ = false;
 };
 
-/// A relay whose copies are current and that knows of no changes.
-daemon::awaitable<void> answer_as_relay(daemon::http_request, daemon::response_writer& writer)
+/// The answer of a relay whose copies are current and that knows of no changes.
+standin::engine_reply answer_as_relay(const daemon::http_request&)
 {
-    daemon::http_response response;
-    response.body = R"({"tables":[],"age_ms":5,"endpoints_age_ms":5})";
-    co_await writer.send(std::move(response));
+    const std::string body = R"({"tables":[],"age_ms":5,"endpoints_age_ms":5})";
+    standin::engine_reply reply;
+    reply.pieces.push_back("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                           "\r\n\r\n" + body);
+    return reply;
 }
 
 } // namespace
@@ -316,8 +319,8 @@
 TEST_CASE("a router that was cut off from the table service alone reports no outage")
 {
     boost::asio::io_context context{1};
-    daemon::http_server relay(context, {}, &answer_as_relay);
-    REQUIRE_FALSE(relay.listen({"127.0.0.1", 0}));
+    standin::platform_engine relay(context, &answer_as_relay);
+    REQUIRE_FALSE(relay.start());
     const daemon::process_clock time;
     cut_service tables(context);
     const router_id self("self");
