--- a/endivestage/continuation/version_history.hpp
+++ b/endivestage/continuation/version_history.hpp
@@ -20,7 +20,7 @@
 /// each start of it counts as a version of its own.
 std::string version_name(const endpoint_record& endpoint);
 
-/// \returns The hash of \ref version_name.
+/// \returns The hash of version_name().
 std::uint64_t version_key(const endpoint_record& endpoint);
 
 /// \brief Limits of \ref version_history.
--- a/endivestage/serving/exchange_versions.cpp
+++ b/endivestage/serving/exchange_versions.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <iterator>
 #include <utility>
 
 namespace endivestage::serving
--- a/endivestage/serving/origin_datagram.hpp
+++ b/endivestage/serving/origin_datagram.hpp
@@ -36,7 +36,7 @@
 std::string encode_origin_question(std::uint64_t stream);
 std::string encode_unknown_origin(std::uint64_t stream);
 
-/// \param origins At most \ref max_origins_per_datagram.
+/// \param origins At most max_origins_per_datagram.
 std::string encode_origins(std::span<const known_origin> origins);
 
 /// \returns The content; nothing if the datagram cannot be read.
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -365,7 +365,7 @@
               {{"version", routes.version()}, {"routes", routes.routes().size()}});
     state_.routes = std::make_shared<const route_table>(std::move(routes));
     caller_server_.set_limits(to_http_limits(state_.routes->limits(), settings_));
-    set_stream_lifetime();
+    configure_streams();
 }
 
 void server::update_routers()
--- a/endivestage/serving/server.hpp
+++ b/endivestage/serving/server.hpp
@@ -117,7 +117,8 @@
     /// second of the service.
     void record_version(const endpoint_record& endpoint);
     void maintain_versions();
-    void set_stream_lifetime();
+    /// \brief Applies a new configuration to what is known of streams and versions.
+    void configure_streams();
     daemon::awaitable<void> store_versions(version_row row);
     void write_quarantine_records(time_point now);
     daemon::awaitable<void> store_quarantine(quarantine_record record);
@@ -150,6 +151,7 @@
     planned_stop planned_stop_;
     quarantine_records quarantine_records_;
     time_point versions_refreshed_at_{-1000000};
+    std::vector<service_id> streaming_services_; ///< With routes whose streams may be taken up.
     bool stopping_ = false;
     std::uint64_t rotation_ = 0;
 };
--- a/endivestage/serving/server_versions.cpp
+++ b/endivestage/serving/server_versions.cpp
@@ -23,7 +23,7 @@
 /// streaming route.
 constexpr millis min_stream_lifetime{30000};
 
-std::vector<service_id> streaming_services(const route_table& routes)
+std::vector<service_id> find_streaming_services(const route_table& routes)
 {
     std::set<service_id> found;
     for (const route& entry : routes.routes())
@@ -41,7 +41,7 @@
 
 } // namespace
 
-void server::set_stream_lifetime()
+void server::configure_streams()
 {
     millis longest{0};
     for (const route& entry : state_.routes->routes())
@@ -51,6 +51,7 @@
     const millis lifetime = std::max(min_stream_lifetime, longest * 2);
     state_.origins.set_lifetime(lifetime);
     state_.versions.set_retention(lifetime);
+    streaming_services_ = find_streaming_services(*state_.routes);
 }
 
 void server::apply_version_row(const service_id& service, const replicated_row& row)
@@ -79,16 +80,11 @@
 
 void server::maintain_versions()
 {
-    if (!state_.routes)
-    {
-        return;
-    }
     const time_point now = time_.now();
-    const std::vector<service_id> services = streaming_services(*state_.routes);
     if (now - versions_refreshed_at_ >= refresh_interval)
     {
         versions_refreshed_at_ = now;
-        for (const service_id& service : services)
+        for (const service_id& service : streaming_services_)
         {
             state_.versions.refresh(service, state_.endpoints, now);
         }
@@ -97,7 +93,7 @@
     {
         return;
     }
-    for (version_row& row : state_.versions.find_due(services, now))
+    for (version_row& row : state_.versions.find_due(streaming_services_, now))
     {
         boost::asio::co_spawn(context_, store_versions(std::move(row)), boost::asio::detached);
     }
