Compare revisions of the store's tables within one era only

Cause: after a restore of the store from an older copy its revisions go back and are given out again. Routers compared them with those of before: a copy dropped each list with a lower revision, and went on from its own number once the store had passed it, without what was written under the numbers before. The era that the store states was read nowhere. Change: the store client decodes the era; batches, copies, relays, followers and the pauses between polls compare era and revision together (table_position). A later era begins with a whole list, a relay that is still in an earlier era is left, and a response of an earlier era counts as failed. The stand-in of the store can go back to a copy.

--- a/endivestage/replication.hpp
+++ b/endivestage/replication.hpp
@@ -3,6 +3,7 @@
 /// routers, of which only a few (the relays) poll the platform's table service.
 ///
 /// Contents:
+///  - table_position (replication/table_position.hpp): era and revision, which order changes
 ///  - table_replica, change_batch, replicated_row (replication/table_replica.hpp): table copies
 ///  - encoded_change_cache, change_encoder (replication/encoded_change_cache.hpp): changes encoded
 ///    once for all followers
--- a/endivestage/replication/encoded_change_cache.hpp
+++ b/endivestage/replication/encoded_change_cache.hpp
@@ -51,10 +51,10 @@
     {
     }
 
-    /// \returns The encoded changes of \p replica after \p revision. They stay valid when the cache
+    /// \returns The encoded changes of \p replica after \p since. They stay valid when the cache
     /// drops them.
-    std::shared_ptr<const encoded_fragment> changes_since(const table_replica& replica,
-                                                          std::uint64_t revision, bool settling);
+    std::shared_ptr<const encoded_fragment>
+    changes_since(const table_replica& replica, const table_position& since, bool settling);
 
     /// \returns The number of batches kept.
     std::size_t size() const { return entries_.size(); }
@@ -62,7 +62,7 @@
 private:
     struct entry
     {
-        std::uint64_t since = 0; ///< 0 for the whole table.
+        table_position since; ///< Revision 0 for the whole table.
         bool settling = false;
         std::shared_ptr<const encoded_fragment> encoded;
     };
--- a/endivestage/replication/poll_progress.hpp
+++ b/endivestage/replication/poll_progress.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <endivestage/core.hpp>
+#include <endivestage/replication/table_position.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -14,9 +15,9 @@
 /// \brief A successful answer of the table service to a poll.
 struct poll_answer
 {
-    std::optional<std::uint64_t> known; ///< Revision of the copy before it.
-    std::uint64_t revision = 0;         ///< Of the answer.
-    bool listed = false;                ///< The whole table, since the feed lacked the history.
+    std::optional<table_position> known; ///< Of the copy before it.
+    table_position position;             ///< Of the answer.
+    bool listed = false;                 ///< The whole table, since the feed lacked the history.
     millis took{0};
     millis max_wait{0}; ///< Time that the service was to wait for a change.
 };
--- a/endivestage/replication/table_replica.cpp
+++ b/endivestage/replication/table_replica.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace endivestage
 {
@@ -40,11 +41,15 @@
 std::vector<replicated_row> table_replica::apply(const change_batch& batch)
 {
     std::vector<replicated_row> changed;
-    if (revision_ && batch.revision < *revision_)
+    if (position_ && batch.era > position_->era)
+    {
+        return batch.complete ? replace(batch) : changed;
+    }
+    if (position_ && batch.position() < *position_)
     {
         return changed;
     }
-    const bool first = !revision_;
+    const bool first = !position_;
     for (const replicated_row& row : batch.rows)
     {
         if (apply_row(row))
@@ -77,11 +82,11 @@
                   [this](const replicated_row& row) {
                       return !is_newest({row.key, row.revision, row.deleted});
                   });
-    if (!changed.empty() || revision_ != batch.revision)
+    if (!changed.empty() || position_ != batch.position())
     {
         ++generation_;
     }
-    revision_ = batch.revision;
+    position_ = batch.position();
     if (first)
     {
         log_.clear();
@@ -95,11 +100,42 @@
     return changed;
 }
 
-change_batch table_replica::changes_since(std::uint64_t revision) const
+std::vector<replicated_row> table_replica::replace(const change_batch& batch)
+{
+    const std::map<std::string, replicated_row, std::less<>> earlier = std::exchange(rows_, {});
+    std::vector<replicated_row> changed;
+    for (const replicated_row& row : batch.rows)
+    {
+        if (!row.deleted)
+        {
+            rows_[row.key] = row;
+            changed.push_back(row);
+        }
+    }
+    for (auto it = earlier.begin(); it != earlier.end(); ++it)
+    {
+        if (!rows_.contains(it->first))
+        {
+            changed.push_back({it->first, {}, batch.revision, true});
+        }
+    }
+    log_.clear();
+    history_start_ = batch.revision;
+    position_ = batch.position();
+    ++generation_;
+    return changed;
+}
+
+change_batch table_replica::changes_since(const table_position& since) const
 {
     change_batch batch;
-    batch.revision = revision_.value_or(0);
-    if (!has_history_since(revision))
+    batch.revision = revision().value_or(0);
+    batch.era = era();
+    if (is_behind(since))
+    {
+        return batch;
+    }
+    if (!has_history_since(since))
     {
         batch.complete = true;
         batch.rows = rows();
@@ -107,7 +143,7 @@
     }
     for (const change& entry : log_)
     {
-        if (entry.revision > revision && is_newest(entry))
+        if (entry.revision > since.revision && is_newest(entry))
         {
             batch.rows.push_back(entry.deleted ? replicated_row{entry.key, {}, entry.revision, true}
                                                : *find(entry.key));
@@ -116,12 +152,16 @@
     return batch;
 }
 
-bool table_replica::has_changes_since(std::uint64_t revision) const
+bool table_replica::has_changes_since(const table_position& since) const
 {
-    return !has_history_since(revision) ||
+    if (is_behind(since))
+    {
+        return false;
+    }
+    return !has_history_since(since) ||
            std::any_of(log_.begin(), log_.end(),
                        [&](const change& entry)
-                       { return entry.revision > revision && is_newest(entry); });
+                       { return entry.revision > since.revision && is_newest(entry); });
 }
 
 const replicated_row* table_replica::find(std::string_view key) const
--- a/endivestage/serving/change_encoding.cpp
+++ b/endivestage/serving/change_encoding.cpp
@@ -96,6 +96,10 @@
     encoded["table"] = to_string(table_);
     encoded["revision"] = batch.revision;
     encoded["complete"] = batch.complete;
+    if (batch.era != 0)
+    {
+        encoded["era"] = batch.era;
+    }
     encoded["settling"] = settling;
     encoded["rows"] = std::move(rows);
     return encode_fragment(json::serialize(encoded));
@@ -193,6 +197,7 @@
     change_batch batch;
     batch.revision = daemon::get_unsigned(encoded, "revision");
     batch.complete = daemon::get_flag(encoded, "complete");
+    batch.era = daemon::get_unsigned(encoded, "era");
     for (const json::value& entry : daemon::get_array(encoded, "rows"))
     {
         if (!entry.is_object())
--- a/endivestage/serving/replication_relays.cpp
+++ b/endivestage/serving/replication_relays.cpp
@@ -5,6 +5,7 @@
 #include <endivestage/serving/change_encoding.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <utility>
 
@@ -27,6 +28,9 @@
 constexpr millis relay_body_timeout{1200};
 constexpr millis relay_unacknowledged_timeout{600};
 constexpr std::size_t max_relay_response_bytes = 16UL * 1024 * 1024;
+/// Tables whose ages a relay states.
+constexpr std::array<shared_table, 2> aged_tables{shared_table::operations,
+                                                  shared_table::endpoints};
 
 std::uint64_t parse_revision(std::string_view text)
 {
@@ -35,6 +39,19 @@
     return value;
 }
 
+/// \returns The name of the parameter or member with the era of a copy.
+std::string era_name(shared_table table)
+{
+    return std::string(to_string(table)) + "_era";
+}
+
+/// \returns The position of a follower's copy.
+table_position parse_position(const daemon::http_target& target, shared_table table)
+{
+    return {parse_revision(target.parameter(to_string(table))),
+            parse_revision(target.parameter(era_name(table)))};
+}
+
 json::array encode_loads(std::span<const engine_requests> loads)
 {
     json::array encoded;
@@ -197,8 +214,13 @@
     request.target = "/v1/tables?wait_ms=" + std::to_string(relay_poll_wait.count);
     for (const shared_table table : shared_tables)
     {
+        const table_replica& replica = replicas_.at(table);
         request.target += "&" + std::string(to_string(table)) + "=" +
-                          std::to_string(replicas_.at(table).revision().value_or(0));
+                          std::to_string(replica.revision().value_or(0));
+        if (replica.era() != 0)
+        {
+            request.target += "&" + era_name(table) + "=" + std::to_string(replica.era());
+        }
     }
     bool reported = false;
     request.method = "POST";
@@ -305,7 +327,12 @@
     const std::int64_t age_ms = daemon::get_number(*response, "age_ms", -1);
     // Relays that run an earlier release state the age of the operator's table only.
     const std::int64_t endpoints_age_ms = daemon::get_number(*response, "endpoints_age_ms", age_ms);
-    if (age_ms < 0 || endpoints_age_ms < 0 ||
+    // The age of a copy of an earlier era says nothing about this router's copy.
+    const bool is_behind = std::any_of(
+        aged_tables.begin(), aged_tables.end(),
+        [&](shared_table table)
+        { return daemon::get_unsigned(*response, era_name(table)) < replicas_.at(table).era(); });
+    if (is_behind || age_ms < 0 || endpoints_age_ms < 0 ||
         source_choice_.is_relay_stale(millis{std::max(age_ms, endpoints_age_ms)}))
     {
         return make_error_code(errc::stale_view);
@@ -359,8 +386,7 @@
         for (const shared_table table : shared_tables)
         {
             // Unchanged tables are omitted; most responses contain only the age and loads.
-            if (replicas_.at(table).has_changes_since(
-                    parse_revision(target.parameter(to_string(table)))))
+            if (replicas_.at(table).has_changes_since(parse_position(target, table)))
             {
                 changed.push_back(table);
             }
@@ -385,8 +411,7 @@
     {
         fragments.push_back(std::make_shared<const encoded_fragment>(encode_fragment(text)));
         fragments.push_back(served_changes_.at(table).cache.changes_since(
-            replicas_.at(table), parse_revision(target.parameter(to_string(table))),
-            is_settling()));
+            replicas_.at(table), parse_position(target, table), is_settling()));
         text = ",";
     }
     json::object rest;
@@ -397,6 +422,13 @@
     }
     rest["age_ms"] = age(shared_table::operations).value_or(millis{-1}).count;
     rest["endpoints_age_ms"] = age(shared_table::endpoints).value_or(millis{-1}).count;
+    for (const shared_table table : aged_tables)
+    {
+        if (replicas_.at(table).era() != 0)
+        {
+            rest[era_name(table)] = replicas_.at(table).era();
+        }
+    }
     const std::string_view loads_since = target.parameter("loads");
     if (!loads_since.empty())
     {
--- a/endivestage/serving/replication_service.cpp
+++ b/endivestage/serving/replication_service.cpp
@@ -153,7 +153,19 @@
 void replication_service::apply(shared_table table, const change_batch& batch)
 {
     const bool was_complete = is_complete();
-    const std::vector<replicated_row> changed = replicas_.at(table).apply(batch);
+    table_replica& replica = replicas_.at(table);
+    const std::optional<table_position> before = replica.position();
+    const std::vector<replicated_row> changed = replica.apply(batch);
+    if (before && replica.era() != before->era)
+    {
+        log_event(log_level::warning, "store_era_entered",
+                  {{"table", to_string(table)},
+                   {"era_before", before->era},
+                   {"era", replica.era()},
+                   {"revision_before", before->revision},
+                   {"revision", batch.revision},
+                   {"age_ms", age(table).value_or(millis{-1})}});
+    }
     if (!changed.empty())
     {
         callbacks_.on_rows_changed(table, changed, outage_.rewritten_by(time_.now()));
@@ -206,18 +218,20 @@
 
 awaitable<millis> replication_service::poll_service(shared_table table, millis max_wait)
 {
-    const std::optional<std::uint64_t> revision = replicas_.at(table).revision();
+    const std::optional<table_position> position = replicas_.at(table).position();
     const time_point sent = time_.now();
     ++store_calls_;
     result<timestamped_batch> response = make_error_code(errc::stale_view);
     bool listed = false;
     // When the changes since this revision are no longer available, as after an outage, a list
     // returns all rows at once.
-    if (revision)
+    if (position)
     {
-        response = co_await tables_.fetch_changes(table, *revision, max_wait);
+        response = co_await tables_.fetch_changes(table, position->revision, max_wait);
     }
-    if (!response && response.error() == errc::stale_view)
+    // A feed that goes on in a later era lacks rows that were written under lower revisions.
+    const bool is_later_era = response && response->batch.era > position->era;
+    if (is_later_era || (!response && response.error() == errc::stale_view))
     {
         listed = true;
         response = co_await tables_.list(table);
@@ -239,7 +253,7 @@
         co_return delay;
     }
     service_clock_.observe(sent, response->timestamp);
-    const bool is_older = revision && response->batch.revision < *revision;
+    const bool is_older = position && response->batch.position() < *position;
     const bool changed = !response->batch.rows.empty();
     apply(table, response->batch);
     if (!is_older)
@@ -250,7 +264,7 @@
     }
     callbacks_.on_updated();
     const millis stalled = record_progress(
-        table, {revision, response->batch.revision, listed, time_.now() - sent, max_wait});
+        table, {position, response->batch.position(), listed, time_.now() - sent, max_wait});
     if (stalled > millis{0})
     {
         co_return stalled;
@@ -277,8 +291,10 @@
         log_event(log_level::warning, "table_poll_stalled",
                   {{"table", to_string(table)},
                    {"reason", to_string(stall)},
-                   {"copy", answer.known.value_or(0)},
-                   {"answer", answer.revision},
+                   {"copy", answer.known.value_or(table_position{}).revision},
+                   {"copy_era", answer.known.value_or(table_position{}).era},
+                   {"answer", answer.position.revision},
+                   {"answer_era", answer.position.era},
                    {"pause_ms", pause}});
     }
     return pause;
--- a/endivestage/serving/table_client.hpp
+++ b/endivestage/serving/table_client.hpp
@@ -50,6 +50,9 @@
 
 /// \brief Client of the platform's table service.
 ///
+/// Batches state the era of their revisions. Responses of an era before the latest one that the
+/// client knows count as failed.
+///
 /// Errors: errc::stale_view when the service no longer has the changes since a revision;
 /// errc::overloaded when it refuses calls; errc::store_unavailable otherwise.
 class table_client
--- a/standin/platform_store.cpp
+++ b/standin/platform_store.cpp
@@ -57,6 +57,23 @@
     rows_[{table, key}] = {{}, ++revision_, true};
 }
 
+void platform_store::restore()
+{
+    rows_ = copy_.rows;
+    revision_ = copy_.revision;
+    ++era;
+    ++restores_;
+}
+
+awaitable<void> platform_store::send(http_response response, response_writer& writer) const
+{
+    if (era != 0)
+    {
+        response.fields.emplace_back("Store-Era", std::to_string(era));
+    }
+    co_await writer.send(std::move(response));
+}
+
 std::string platform_store::get(const std::string& table, const std::string& key) const
 {
     const auto it = rows_.find({table, key});
@@ -123,21 +140,33 @@
     {
         faults.drop_history = false;
         response.status = 410;
-        co_await writer.send(std::move(response));
+        co_await send(std::move(response), writer);
         co_return;
     }
     const std::string table(target.parameter("table"));
     const std::uint64_t since = parse_number(target.parameter("since_rev"));
+    const std::uint64_t restores = restores_;
+    if (since > revision_)
+    {
+        response.status = 410;
+        co_await send(std::move(response), writer);
+        co_return;
+    }
     const daemon::process_clock clock;
     const time_point deadline =
         clock.now() + millis{static_cast<std::int64_t>(parse_number(target.parameter("wait_ms")))};
-    while (!has_changed(table, since) && clock.now() < deadline)
+    while (!has_changed(table, since) && clock.now() < deadline && restores == restores_)
     {
         co_await daemon::sleep_for(poll_interval);
     }
+    if (restores != restores_)
+    {
+        writer.abort();
+        co_return;
+    }
     co_await lose_response(table);
     response.body = list_rows({table, since, {}, 0});
-    co_await writer.send(std::move(response));
+    co_await send(std::move(response), writer);
 }
 
 awaitable<void> platform_store::lose_response(std::string table) const
@@ -158,7 +187,7 @@
     if (!parsed)
     {
         response.status = 400;
-        co_await writer.send(std::move(response));
+        co_await send(std::move(response), writer);
         co_return;
     }
     for (const json::value& entry : daemon::get_array(*parsed, "expected_rev"))
@@ -171,7 +200,7 @@
         if (revision != daemon::get_unsigned(fields, "row_version"))
         {
             response.status = 412;
-            co_await writer.send(std::move(response));
+            co_await send(std::move(response), writer);
             co_return;
         }
     }
@@ -192,7 +221,7 @@
         co_return;
     }
     response.body = json::serialize(json::object{{"row_version", revision_}, {"now_ms", 0}});
-    co_await writer.send(std::move(response));
+    co_await send(std::move(response), writer);
 }
 
 awaitable<void> platform_store::respond(http_request request, response_writer& writer)
@@ -214,7 +243,7 @@
         target.segments.size() != 2)
     {
         response.status = faults.status != 0 ? faults.status : 404;
-        co_await writer.send(std::move(response));
+        co_await send(std::move(response), writer);
         co_return;
     }
     if (target.segments[1] == "rows-feed")
@@ -234,7 +263,7 @@
         page.first_key = target.parameter("source");
     }
     response.body = list_rows(page);
-    co_await writer.send(std::move(response));
+    co_await send(std::move(response), writer);
 }
 
 } // namespace endivestage::standin
--- a/standin/platform_store.hpp
+++ b/standin/platform_store.hpp
@@ -43,8 +43,18 @@
     void put(const std::string& table, const std::string& key, const std::string& data);
     void erase(const std::string& table, const std::string& key);
 
+    /// \brief Keeps a copy of the rows, from which \ref restore continues.
+    void keep_copy() { copy_ = {rows_, revision_}; }
+
+    /// \brief Goes back to the copy: later rows are gone, their revisions are given out again, and
+    /// the era rises. Open calls get no response.
+    void restore();
+
     store_faults faults;
 
+    /// Stated in all responses unless it is 0.
+    std::uint64_t era = 0;
+
     /// \returns Number of calls received so far.
     std::uint64_t calls() const { return calls_; }
 
@@ -64,6 +74,15 @@
 
     using row_key = std::pair<std::string, std::string>; ///< Table and key.
 
+    /// \brief Rows at an earlier time.
+    struct stored_copy
+    {
+        std::map<row_key, row> rows;
+        std::uint64_t revision = 1;
+    };
+
+    daemon::awaitable<void> send(daemon::http_response response,
+                                 daemon::response_writer& writer) const;
     daemon::awaitable<void> respond(daemon::http_request request, daemon::response_writer& writer);
     daemon::awaitable<void> respond_to_feed(const daemon::http_target& target,
                                             daemon::response_writer& writer);
@@ -89,6 +108,8 @@
     daemon::http_server server_;
     std::map<row_key, row> rows_;
     std::uint64_t revision_ = 1;
+    stored_copy copy_;
+    std::uint64_t restores_ = 0;
     std::uint64_t calls_ = 0;
     std::uint64_t lists_ = 0;
 };
--- a/tests/table_replica_test.cpp
+++ b/tests/table_replica_test.cpp
@@ -154,3 +154,134 @@
               });
     SUCCEED();
 }
+
+// Guards against copies that keep their rows because the revisions of a restored table service are
+// lower, and against feeds of a later era that are taken for all that has changed.
+TEST_CASE("a copy enters a later era with a complete batch only")
+{
+    table_replica replica;
+    replica.apply({{make_row("a", 7), make_row("b", 8)}, 9, true, 1});
+    REQUIRE(replica.apply({{make_row("c", 12)}, 12, false, 2}).empty());
+    REQUIRE(replica.position() == table_position{9, 1});
+    const std::vector<replicated_row> changed =
+        replica.apply({{make_row("a", 3), make_row("c", 5)}, 5, true, 2});
+    REQUIRE(changed ==
+            std::vector<replicated_row>{make_row("a", 3), make_row("c", 5), {"b", {}, 5, true}});
+    REQUIRE(replica.position() == table_position{5, 2});
+    REQUIRE(replica.find("a")->revision == 3);
+}
+
+// Guards against a late answer, or a relay, of an earlier era that takes a copy back.
+TEST_CASE("a batch of an earlier era changes nothing")
+{
+    table_replica replica;
+    replica.apply({{make_row("a", 3)}, 5, true, 2});
+    REQUIRE(replica.apply({{make_row("a", 8)}, 9, true, 1}).empty());
+    REQUIRE(replica.apply({{make_row("a", 8)}, 9, false, 1}).empty());
+    REQUIRE(replica.find("a")->revision == 3);
+}
+
+// Guards against followers that a relay of another era sends changes since a revision that means
+// something else there.
+TEST_CASE("a relay sends all rows to a follower of an earlier era and none to one of a later era")
+{
+    table_replica relay;
+    relay.apply({{make_row("a", 7)}, 9, true, 1});
+    REQUIRE_FALSE(relay.has_changes_since({5, 2}));
+    REQUIRE(relay.changes_since({5, 2}).rows.empty());
+    REQUIRE_FALSE(relay.changes_since({5, 2}).complete);
+    relay.apply({{make_row("a", 3)}, 5, true, 2});
+    // Revision 9 was given out in both eras.
+    relay.apply({{make_row("a", 9)}, 9, false, 2});
+    REQUIRE(relay.has_changes_since({9, 1}));
+    REQUIRE(relay.changes_since({9, 1}).complete);
+    REQUIRE(relay.changes_since({9, 1}).era == 2);
+    REQUIRE_FALSE(relay.has_changes_since({9, 2}));
+}
+
+namespace
+{
+
+/// A table service that can be restored from a copy.
+struct restorable_table
+{
+    std::map<std::string, replicated_row> rows; ///< Deleted ones included.
+    std::uint64_t revision = 1;
+    std::uint64_t era = 1;
+
+    change_batch answer(std::uint64_t since, bool complete) const
+    {
+        change_batch batch{{}, revision, complete, era};
+        for (const auto& [key, row] : rows)
+        {
+            if (row.revision > since && !(complete && row.deleted))
+            {
+                batch.rows.push_back(row);
+            }
+        }
+        return batch;
+    }
+
+    /// What a router does for each poll.
+    void poll(table_replica& replica) const
+    {
+        const std::optional<table_position> known = replica.position();
+        const bool feeds = known && known->revision <= revision;
+        const change_batch feed = answer(feeds ? known->revision : 0, !feeds);
+        replica.apply(feeds && feed.era > known->era ? answer(0, true) : feed);
+    }
+
+    std::vector<replicated_row> present() const { return answer(0, true).rows; }
+};
+
+} // namespace
+
+// Property: for every sequence of writes, restores and polls, the copies of a relay and of its
+// follower end with the rows of the table service.
+TEST_CASE("copies converge across restores of the table service")
+{
+    rc::check("copies converge across restores",
+              []
+              {
+                  restorable_table service;
+                  restorable_table copy = service;
+                  table_replica relay(4);
+                  table_replica follower(4);
+                  const int steps = *rc::gen::inRange(1, 60);
+                  for (int n = 0; n < steps; ++n)
+                  {
+                      const std::string key(1, static_cast<char>('a' + *rc::gen::inRange(0, 4)));
+                      switch (*rc::gen::inRange(0, 8))
+                      {
+                      case 0:
+                          copy = service;
+                          break;
+                      case 1:
+                          copy.era = service.era + 1;
+                          service = copy;
+                          break;
+                      case 2:
+                          service.poll(relay);
+                          break;
+                      case 3:
+                          service.poll(follower);
+                          break;
+                      case 4:
+                          follower.apply(
+                              relay.changes_since(follower.position().value_or(table_position{})));
+                          break;
+                      default:
+                          ++service.revision;
+                          service.rows[key] =
+                              make_row(key, service.revision, *rc::gen::arbitrary<bool>());
+                          service.rows[key].data += " " + std::to_string(service.era);
+                      }
+                  }
+                  service.poll(relay);
+                  follower.apply(
+                      relay.changes_since(follower.position().value_or(table_position{})));
+                  RC_ASSERT(relay.rows() == service.present());
+                  RC_ASSERT(follower.rows() == service.present());
+              });
+    SUCCEED();
+}
