Believe lost and returned rows of a restored store only when they are written

Cause: the first rows of an era show the tables as they were some seconds before, but were applied like changes. With the stand-in of the store, requests went to a zone that was out of service, and to endpoints that were leaving or gone; a router whose own row was lost never wrote it again. A restore counts as an outage for endpoints' records. A router writes its own row again. The era and the number of restores are metrics. Conclusion: what a restore takes back stays in force until its writers have written it. A router that starts after the restore still knows only the copy.

--- a/endivestage/replication.hpp
+++ b/endivestage/replication.hpp
@@ -5,6 +5,7 @@
 /// Contents:
 ///  - table_position (replication/table_position.hpp): era and revision, which order changes
 ///  - table_replica, change_batch, replicated_row (replication/table_replica.hpp): table copies
+///  - era_transition (replication/era_transition.hpp): rows that are believed after a restore
 ///  - encoded_change_cache, change_encoder (replication/encoded_change_cache.hpp): changes encoded
 ///    once for all followers
 ///  - source_choice, relay_candidate (replication/source_choice.hpp): choice between the table
@@ -16,6 +17,7 @@
 #pragma once
 
 #include <endivestage/replication/encoded_change_cache.hpp>
+#include <endivestage/replication/era_transition.hpp>
 #include <endivestage/replication/poll_progress.hpp>
 #include <endivestage/replication/service_outage.hpp>
 #include <endivestage/replication/source_choice.hpp>
--- a/endivestage/replication/service_outage.hpp
+++ b/endivestage/replication/service_outage.hpp
@@ -43,13 +43,18 @@
         last_response_ = std::max(last_response_.value_or(now), now);
     }
 
+    /// \brief Records a response of a later era: rows were lost, however short the outage was.
+    void record_restore(time_point now) { rewritten_by_ = now + rewrite_period; }
+
     /// \brief Records an answer of a relay.
     /// \param current_at Instant at which the relay's copy was current.
     /// \param rewritten_by The relay's own \ref rewritten_by.
-    void record_relay_answer(time_point current_at, std::optional<time_point> rewritten_by)
+    /// \param restored Whether the answer shows this router that the service was restored.
+    void record_relay_answer(time_point current_at, std::optional<time_point> rewritten_by,
+                             bool restored = false)
     {
         const bool was_silent = last_response_ && current_at - *last_response_ > min_duration;
-        if (was_silent && rewritten_by)
+        if ((was_silent || restored) && rewritten_by)
         {
             rewritten_by_ = rewritten_by;
         }
--- a/endivestage/serving/replication_relays.cpp
+++ b/endivestage/serving/replication_relays.cpp
@@ -278,7 +278,15 @@
     }
     const bool was_settling = is_settling();
     const millis silence = age().value_or(millis{0});
-    outage_.record_relay_answer(sent_at - millis{std::min(age_ms, endpoints_age_ms)}, rewritten_by);
+    std::uint64_t relay_era = 0;
+    for (const shared_table table : aged_tables)
+    {
+        relay_era = std::max(relay_era, daemon::get_unsigned(response, era_name(table)));
+    }
+    const bool restored = is_restored(relay_era);
+    restores_ += restored ? 1 : 0;
+    outage_.record_relay_answer(sent_at - millis{std::min(age_ms, endpoints_age_ms)}, rewritten_by,
+                                restored);
     if (!was_settling && is_settling())
     {
         log_event(log_level::info, "outage_ended",
--- a/endivestage/serving/replication_service.cpp
+++ b/endivestage/serving/replication_service.cpp
@@ -150,13 +150,33 @@
     return outage_.rewritten_by(time_.now()).has_value();
 }
 
+std::uint64_t replication_service::era() const
+{
+    std::uint64_t latest = 0;
+    for (const auto& [table, replica] : replicas_)
+    {
+        latest = std::max(latest, replica.era());
+    }
+    return latest;
+}
+
+// A router without copies has nothing that a restore could have taken back.
+bool replication_service::is_restored(std::uint64_t source_era) const
+{
+    const bool has_copy = std::any_of(replicas_.begin(), replicas_.end(),
+                                      [](const std::pair<const shared_table, table_replica>& entry)
+                                      { return entry.second.position().has_value(); });
+    return has_copy && source_era > era();
+}
+
 void replication_service::apply(shared_table table, const change_batch& batch)
 {
     const bool was_complete = is_complete();
     table_replica& replica = replicas_.at(table);
     const std::optional<table_position> before = replica.position();
     const std::vector<replicated_row> changed = replica.apply(batch);
-    if (before && replica.era() != before->era)
+    const bool entered = before && replica.era() != before->era;
+    if (entered)
     {
         log_event(log_level::warning, "store_era_entered",
                   {{"table", to_string(table)},
@@ -166,9 +186,15 @@
                    {"revision", batch.revision},
                    {"age_ms", age(table).value_or(millis{-1})}});
     }
-    if (!changed.empty())
+    const time_point now = time_.now();
+    const std::optional<time_point> rewritten_by = outage_.rewritten_by(now);
+    if (entered && callbacks_.on_era_entered)
+    {
+        callbacks_.on_era_entered(table, changed, rewritten_by.value_or(now));
+    }
+    else if (!changed.empty())
     {
-        callbacks_.on_rows_changed(table, changed, outage_.rewritten_by(time_.now()));
+        callbacks_.on_rows_changed(table, changed, rewritten_by);
     }
     if (!changed.empty() || is_complete() != was_complete)
     {
@@ -255,6 +281,11 @@
     service_clock_.observe(sent, response->timestamp);
     const bool is_older = position && response->batch.position() < *position;
     const bool changed = !response->batch.rows.empty();
+    if (is_restored(response->batch.era))
+    {
+        outage_.record_restore(time_.now());
+        ++restores_;
+    }
     apply(table, response->batch);
     if (!is_older)
     {
--- a/endivestage/serving/replication_service.hpp
+++ b/endivestage/serving/replication_service.hpp
@@ -37,6 +37,11 @@
     std::function<void(shared_table, std::span<const replicated_row>,
                        std::optional<time_point> rewritten_by)>
         on_rows_changed;
+    /// Receives all rows of a table after a restore of the table service from an older copy, and
+    /// when their writers have written lost ones again. \ref on_rows_changed gets them if this is
+    /// empty.
+    std::function<void(shared_table, std::span<const replicated_row>, time_point rewritten_by)>
+        on_era_entered;
     /// Receives a local instant at which the copy of the operator's table was current.
     std::function<void(time_point)> on_current;
     /// Called after each update of a copy, with or without changes.
@@ -123,6 +128,10 @@
 
     /// \returns Calls made to the table service since start.
     std::uint64_t store_calls() const { return store_calls_; }
+    /// \returns Latest era of the copies.
+    std::uint64_t era() const;
+    /// \returns How often the table service was restored since start, as far as this router knows.
+    std::uint64_t restores() const { return restores_; }
     /// \returns Whether this router serves changes to other routers.
     bool is_relaying() const { return relaying_; }
     /// \returns Whether this router polls the table service for the fleet.
@@ -172,6 +181,8 @@
     /// \brief Records whether the relay knows of an outage, before its rows are applied.
     void record_relay_answer(const boost::json::object& response, time_point sent_at);
     bool is_settling() const;
+    /// \returns Whether a source of changes is in a later era than all copies.
+    bool is_restored(std::uint64_t source_era) const;
 
     struct service_state
     {
@@ -212,6 +223,7 @@
     std::optional<start_sequence> start_sequence_; ///< Set until this router has its first copies.
     bool starts_from_service_ = false; ///< Reads tables without a copy from the table service.
     std::uint64_t store_calls_ = 0;
+    std::uint64_t restores_ = 0;
     load_aggregator load_aggregator_;
     rollout_exchange* rollouts_ = nullptr;
     std::uint64_t loads_sequence_ = 0; ///< Sequence number up to which the relay's loads were read.
--- a/endivestage/serving/router_metrics.cpp
+++ b/endivestage/serving/router_metrics.cpp
@@ -216,6 +216,12 @@
     set_gauge("endivestage_ready", "1 while this router takes requests.", values.ready ? 1.0 : 0.0);
     registry_.get_counter("endivestage_store_calls_total", "Calls made to the table service.")
         .raise_to(values.store_calls);
+    set_gauge("endivestage_store_era", "Era of the table service that the copies belong to.",
+              static_cast<double>(values.store_era));
+    registry_
+        .get_counter("endivestage_store_restores_total",
+                     "Times that the table service came back from an older copy.")
+        .raise_to(values.store_restores);
 }
 
 } // namespace endivestage::serving
--- a/endivestage/serving/router_metrics.hpp
+++ b/endivestage/serving/router_metrics.hpp
@@ -23,6 +23,8 @@
     std::size_t routers = 0;
     std::uint64_t config_version = 0;
     std::uint64_t store_calls = 0;     ///< Calls to the table service since start.
+    std::uint64_t store_era = 0;       ///< Era of the copies; 0 if the table service states none.
+    std::uint64_t store_restores = 0;  ///< Restores of the table service since start.
     std::size_t quarantined_parts = 0; ///< Parts of prompts that are kept from engines.
     std::size_t notices = 0; ///< Endpoints that said of themselves that they want no requests.
     std::size_t failing_endpoints = 0;        ///< Endpoints that several routers see fail.
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -24,6 +24,8 @@
 namespace
 {
 
+/// The store drops the record of an endpoint that has not renewed it for three heartbeats.
+constexpr millis left_endpoint_period{5000};
 /// Connections whose caller accepts no bytes for this long are closed.
 constexpr millis write_timeout{10000};
 /// Sightings are collected for this long, so that several share a datagram.
@@ -92,6 +94,18 @@
     return converted;
 }
 
+std::map<shared_table, era_transition> make_era_policies()
+{
+    std::map<shared_table, era_transition> eras;
+    // Zones out of service and orders stay as they were, also ended ones.
+    eras.emplace(shared_table::operations, era_transition({true, service_outage::rewrite_period}));
+    // The directory keeps lost endpoints itself. One that has left has its record dropped again
+    // when it does not renew it.
+    eras.emplace(shared_table::endpoints, era_transition({false, left_endpoint_period}));
+    eras.emplace(shared_table::routers, era_transition({true, millis{0}}));
+    return eras;
+}
+
 start_hold_limits to_hold_limits(std::size_t host_memory)
 {
     start_hold_limits converted;
@@ -155,6 +169,7 @@
                           co_await writer.send(std::move(response));
                       }),
       rollout_service_(context, state_, *platform_.tables),
+      eras_(make_era_policies()),
       planned_stop_(to_stop_config(settings_.bounds)),
       quarantine_records_(hash64(settings_.name.view()))
 {
@@ -251,8 +266,14 @@
     callbacks.on_rows_changed = [this](shared_table table, std::span<const replicated_row> rows,
                                        std::optional<time_point> rewritten_by)
     {
+        eras_.at(table).record_changes(rows, time_.now());
         apply_changes(table, rows, rewritten_by);
     };
+    callbacks.on_era_entered =
+        [this](shared_table table, std::span<const replicated_row> rows, time_point rewritten_by)
+    {
+        enter_era(table, rows, rewritten_by);
+    };
     callbacks.on_current = [this](time_point instant)
     {
         state_.operations_lease.renew(instant);
--- a/endivestage/serving/server.hpp
+++ b/endivestage/serving/server.hpp
@@ -106,6 +106,14 @@
     daemon::awaitable<void> shut_down();
     void apply_changes(shared_table table, std::span<const replicated_row> rows,
                        std::optional<time_point> rewritten_by);
+    /// \brief Applies the rows of a restored table service, except those that this router does not
+    /// believe yet.
+    void enter_era(shared_table table, std::span<const replicated_row> rows,
+                   time_point rewritten_by);
+    /// \brief Applies rows that were not believed and have not been written since.
+    void apply_deferred_rows();
+    /// \brief Keeps an endpoint leaving whose record of before says that it is not.
+    bool defer_if_leaving(const replicated_row& row);
     void apply_operations(std::span<const replicated_row> rows);
     void apply_endpoints(std::span<const replicated_row> rows,
                          std::optional<time_point> rewritten_by);
@@ -147,6 +155,7 @@
     std::unique_ptr<origin_service> origin_service_;
     std::unique_ptr<replication_service> replication_;
     rollout_service rollout_service_;
+    std::map<shared_table, era_transition> eras_;
     std::set<zone_id> zones_out_of_service_;
     planned_stop planned_stop_;
     quarantine_records quarantine_records_;
--- a/endivestage/serving/server_maintenance.cpp
+++ b/endivestage/serving/server_maintenance.cpp
@@ -47,6 +47,8 @@
         gauges.relaying = replication_->is_relaying();
         gauges.primary = replication_->is_primary();
         gauges.store_calls = replication_->store_calls();
+        gauges.store_era = replication_->era();
+        gauges.store_restores = replication_->restores();
     }
     state_.metrics.set_gauges(gauges);
     update_rollout_metrics();
@@ -106,6 +108,7 @@
         record_loop_delay(time_.now() - due);
         state_.pool.expire();
         maintain_versions();
+        apply_deferred_rows();
         daemon::flush_log();
         for (const endpoint_id& returned : state_.notices.expire(state_.endpoints, time_.now()))
         {
--- a/tests/daemon_store_era_test.cpp
+++ b/tests/daemon_store_era_test.cpp
@@ -153,6 +153,161 @@
         });
 }
 
+// Guards against the loss of routers from the others' lists: a router writes its row once, and a
+// restored store may have lost it.
+TEST_CASE("a router writes its row again when a restored store has lost it")
+{
+    fleet f;
+    f.store.era = 1;
+    f.store.keep_copy();
+    f.add_engine("e1", respond_ok());
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            co_await f.pause(change_ms);
+            REQUIRE_FALSE(f.store.get("endivestage-routers", "r1").empty());
+            f.store.restore();
+            REQUIRE(f.store.get("endivestage-routers", "r1").empty());
+            co_await f.pause(change_ms);
+            REQUIRE_FALSE(f.store.get("endivestage-routers", "r1").empty());
+        });
+}
+
+namespace
+{
+
+constexpr const char* zone_key = "evacuate/zone-a";
+
+/// Restores the store in a fleet with one endpoint, and answers whether a request was served then.
+awaitable<bool> is_served(fleet& f)
+{
+    const http_response response = co_await f.send_request("GET", "/o/x");
+    co_return response.status == 200;
+}
+
+} // namespace
+
+// Guards against requests to a zone that was taken out of service, because a restored store has
+// lost the order and the operator has not written it again yet.
+TEST_CASE("a zone stays out of service when a restored store has lost the order")
+{
+    fleet f;
+    f.store.era = 1;
+    f.add_engine("e1", respond_ok());
+    f.store.keep_copy();
+    f.store.put("op", zone_key, "{}");
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            co_await f.pause(change_ms);
+            bool served = co_await is_served(f);
+            REQUIRE_FALSE(served);
+            f.store.restore();
+            co_await f.pause(change_ms / 2);
+            served = co_await is_served(f);
+            REQUIRE_FALSE(served);
+            f.store.put("op", zone_key, "{}");
+            co_await f.pause(2 * change_ms);
+            served = co_await is_served(f);
+            REQUIRE_FALSE(served);
+            // Taken back within the era.
+            f.store.erase("op", zone_key);
+            co_await f.pause(change_ms);
+            served = co_await is_served(f);
+            REQUIRE(served);
+        });
+}
+
+// Guards against zones that stay out of service for good when the order is not written again.
+TEST_CASE("a zone whose order is not written again after a restore returns to service")
+{
+    fleet f;
+    f.store.era = 1;
+    f.add_engine("e1", respond_ok());
+    f.store.keep_copy();
+    f.store.put("op", zone_key, "{}");
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            co_await f.pause(change_ms);
+            f.store.restore();
+            co_await f.pause(3 * change_ms);
+            const bool served = co_await is_served(f);
+            REQUIRE(served);
+        });
+}
+
+// Guards against requests to an endpoint that has left or is leaving, because a restored store
+// lists it as it was before.
+TEST_CASE("an endpoint that was leaving or gone gets no requests after a restore of the store")
+{
+    const bool gone = GENERATE(true, false);
+    CAPTURE(gone);
+    fleet f;
+    f.store.era = 1;
+    standin::platform_engine& leaving = f.add_engine("e1", respond_ok());
+    f.store.keep_copy();
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            co_await f.pause(change_ms);
+            if (gone)
+            {
+                f.store.erase("servers", "e1");
+            }
+            else
+            {
+                f.put_engine_record("e1", leaving.port(), "draining");
+            }
+            co_await f.pause(change_ms);
+            bool served = co_await is_served(f);
+            REQUIRE_FALSE(served);
+            f.store.restore();
+            for (int n = 0; n < 4; ++n)
+            {
+                co_await f.pause(change_ms / 2);
+                served = co_await is_served(f);
+                REQUIRE_FALSE(served);
+            }
+            // It was not leaving after all: it goes on renewing its record.
+            co_await f.pause(4 * change_ms);
+            served = co_await is_served(f);
+            REQUIRE(served);
+        });
+}
+
+// Guards against a deadly part of prompts that is free again, and against versions of a service
+// that are forgotten: routers write these rows, and a restored store has lost them.
+TEST_CASE("routers write quarantines and versions again that a restored store has lost")
+{
+    fleet f;
+    f.store.era = 1;
+    f.store.keep_copy();
+    f.add_engine("e1", respond_ok());
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            const std::string key = "quarantine/77";
+            f.store.put("endivestage-routers", key,
+                        R"({"crashes":[{"crash":7,"age_ms":50},{"crash":6,"age_ms":70},
+                                       {"crash":5,"age_ms":90}]})");
+            co_await f.pause(2 * change_ms);
+            REQUIRE_FALSE(f.store.get("endivestage-routers", "versions/pool").empty());
+            f.store.restore();
+            REQUIRE(f.store.get("endivestage-routers", "versions/pool").empty());
+            f.put_engine_record("e1", f.engines.front()->port(), "ready");
+            co_await f.pause(3 * change_ms);
+            REQUIRE_FALSE(f.store.get("endivestage-routers", "versions/pool").empty());
+            REQUIRE(f.store.get("endivestage-routers", key).find("\"crash\":7") !=
+                    std::string::npos);
+        });
+}
+
 namespace
 {
 
