Deliver streams whose ids are not consecutive

Cause: event_framer expected each id to be one above the last, in the first response as well, since the exchange restarts the framer before it. The same check would cut a stream that goes on after a cut, and take-ups got repeated events twice, as the id that they name was not used. Change: the step between ids says nothing. A response that repeats events must repeat the caller's last one before a new one. A take-up begins after the id that it names. The soak's engines number by three. Conclusion: a stream is cut by what shows that text is missing or repeated, not by how it is numbered.

--- a/endivestage/serving/event_framer.cpp
+++ b/endivestage/serving/event_framer.cpp
@@ -98,26 +98,25 @@
     const std::optional<std::uint64_t> id = content.id;
     // Also an event without an id of an engine that goes on with a stream: the caller may have it.
     if (content.malformed || (!content.empty && !content.has_field) ||
-        (resumed_ && last_event_id_ && content.has_data && !id))
+        (resumes_ && content.has_data && !id))
     {
         broken_ = true;
         return false;
     }
-    if (resumed_ && id && last_event_id_)
+    if (id && last_event_id_ && *id <= *last_event_id_)
     {
-        if (*id <= *last_event_id_)
-        {
-            return false;
-        }
-        if (*id > *last_event_id_ + 1)
-        {
-            broken_ = true;
-            return false;
-        }
+        repeated_id_ = id;
+        return false;
+    }
+    if (id && may_repeat_ && repeated_id_ && *repeated_id_ < *last_event_id_)
+    {
+        broken_ = true;
+        return false;
     }
     if (id)
     {
         last_event_id_ = id;
+        may_repeat_ = false;
     }
     return true;
 }
@@ -175,7 +174,9 @@
 void event_framer::restart()
 {
     buf_.clear();
-    resumed_ = true;
+    resumes_ = last_event_id_.has_value();
+    may_repeat_ = resumes_;
+    repeated_id_.reset();
     broken_ = false;
 }
 
--- a/endivestage/serving/event_framer.hpp
+++ b/endivestage/serving/event_framer.hpp
@@ -13,8 +13,9 @@
 /// \brief Splits a text/event-stream at event boundaries, so that a caller never receives a partial
 /// event when the stream breaks. The bytes of the events are not changed.
 ///
-/// When another engine resumes a stream, it may repeat events that were delivered before; the
-/// framer drops them.
+/// Ids increase by any steps: an event may hold several tokens, and its id may count them. A step
+/// therefore never shows a missing event. When another engine resumes a stream, it may repeat
+/// events that were delivered before; the framer drops them.
 class event_framer
 {
 public:
@@ -38,15 +39,20 @@
     bool ends_inside_event() const;
 
     /// \brief Discards a partial event; the bytes that follow come from another response, which
-    /// starts or resumes the stream.
+    /// starts the stream, or resumes it after the last event.
     void restart();
 
-    /// \returns The id of the last event returned by \ref add; nothing when no event had an id.
+    /// \brief Lets the next response resume the stream after an event that the caller has received
+    /// in an earlier attempt.
+    void resume_after(std::uint64_t event_id) { last_event_id_ = event_id; }
+
+    /// \returns The id of the last event that the caller has; nothing when no event had an id.
     std::optional<std::uint64_t> last_event_id() const { return last_event_id_; }
 
-    /// \returns Whether an event was missing after a restart, or was too long, or whether bytes
-    /// came that are no event of this stream, such as the text of an error. The events that \ref
-    /// add has returned are sound all the same.
+    /// \returns Whether a response that repeats events left out the last one that the caller has,
+    /// so that it is unknown where it goes on, or an event was too long, or whether bytes came that
+    /// are no event of this stream, such as the text of an error. The events that \ref add has
+    /// returned are sound all the same.
     bool is_broken() const { return broken_; }
 
     /// \returns Whether bytes of an incomplete event are buffered.
@@ -57,7 +63,9 @@
 
     std::string buf_;
     std::optional<std::uint64_t> last_event_id_;
-    bool resumed_ = false;
+    bool resumes_ = false;    ///< The response goes on after an event that the caller has.
+    bool may_repeat_ = false; ///< It has had no new event yet.
+    std::optional<std::uint64_t> repeated_id_; ///< The last event that it repeated.
     bool broken_ = false;
 };
 
--- a/endivestage/serving/exchange_attempt.cpp
+++ b/endivestage/serving/exchange_attempt.cpp
@@ -406,6 +406,10 @@
     {
         // A resumed stream keeps the response head of its first engine.
         response_ = std::move(*response);
+        if (decoded_.last_event_id && route_->semantics == execution_semantics::resumable)
+        {
+            framer_.resume_after(*decoded_.last_event_id);
+        }
     }
     framer_.restart();
     co_return co_await forward_events(first_event_deadline);
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -283,8 +283,9 @@
 std::string soak_fleet::make_event(const std::string& request, int number,
                                    const std::string& version)
 {
-    return "id: " + std::to_string(number) + "\ndata: " + request + "/" + std::to_string(number) +
-           (number == event_count(request) ? " last" : "") + "\ndata: " + version + "\n\n";
+    return "id: " + std::to_string(number * tokens_per_event) + "\ndata: " + request + "/" +
+           std::to_string(number) + (number == event_count(request) ? " last" : "") +
+           "\ndata: " + version + "\n\n";
 }
 
 std::string soak_fleet::random_version()
@@ -355,7 +356,7 @@
     const std::string first_attempt(daemon::find_field(request.fields, "Resumes"));
     const std::string stream = first_attempt.empty() ? id : first_attempt;
     const int count = event_count(stream);
-    for (int n = standin::last_event_id(request) + 1; n <= count; ++n)
+    for (int n = standin::last_event_id(request) / tokens_per_event + 1; n <= count; ++n)
     {
         std::string chunk = standin::make_chunk(make_event(stream, n, engine.version));
         if (truncated && n == count && is_variant(id))
--- a/soak/fleet.hpp
+++ b/soak/fleet.hpp
@@ -108,6 +108,9 @@
 
     /// \returns The body that the response to a request must have.
     static std::string expected_body(const std::string& request);
+    /// Ids count tokens, so they increase by more than one.
+    static constexpr int tokens_per_event = 3;
+
     /// \param version Of the engine that makes the event.
     static std::string make_event(const std::string& request, int number,
                                   const std::string& version);
