Go on with a stream of unknown origin only by a confirmed copy

Cause: a router that has seen one version of a service's endpoints went on with any stream at that version, without asking anyone. While it was cut off or stood still, endpoints of another version had joined and begun the stream. Callers got the first part of a stream from one version and the rest from another (ORDER), with nothing in the answer to show it. Change: where the origin is unknown and one version was seen, the store must answer a call about the endpoints that was sent after the request came; otherwise 503, not run, step=unconfirmed. Requests share calls. docs/design/stream-versions.md says what a router that is out of step may say. Conclusion: one version seen is taken for one version there only when the store has just said so.

--- a/cmake/process_tests.cmake
+++ b/cmake/process_tests.cmake
@@ -20,6 +20,12 @@
            COMMAND "${CMAKE_SOURCE_DIR}/tests/caller_memory.py" "${CMAKE_BINARY_DIR}/endivestage" ${case})
   list(APPEND process_tests caller_memory_${case})
 endforeach()
+# One test per way in which a router gets out of step; see the script.
+foreach(case cut_off paused one_version)
+  add_test(NAME stale_take_up_${case}
+           COMMAND "${CMAKE_SOURCE_DIR}/tests/stale_take_up.py" "${CMAKE_BINARY_DIR}/endivestage" ${case})
+  list(APPEND process_tests stale_take_up_${case})
+endforeach()
 set_tests_properties(${process_tests} PROPERTIES
   ENVIRONMENT "BUILD=${CMAKE_BINARY_DIR};ENDIVESTAGE_NET=${PROCESS_TEST_NET}"
   RESOURCE_LOCK loopback_fleet RUN_SERIAL TRUE TIMEOUT 300)
--- a/endivestage/continuation/take_up.cpp
+++ b/endivestage/continuation/take_up.cpp
@@ -7,7 +7,7 @@
 {
 
 take_up_decision decide_take_up(const std::optional<stream_origin>& origin, std::uint64_t service,
-                                std::span<const std::uint64_t> versions)
+                                std::span<const std::uint64_t> versions, bool current)
 {
     take_up_decision decision;
     if (origin && origin->service == service)
@@ -15,7 +15,7 @@
         decision.goes_on = true;
         decision.version = origin->version;
     }
-    else if (versions.size() <= 1)
+    else if (versions.size() <= 1 && current)
     {
         decision.goes_on = true;
         if (!versions.empty())
--- a/endivestage/continuation/take_up.hpp
+++ b/endivestage/continuation/take_up.hpp
@@ -30,9 +30,11 @@
 /// \brief Decides whether a stream goes on.
 /// \param origin Where it began, if that is known.
 /// \param service Hash of the service that the request is for.
-/// \param versions Keys of the versions that may have begun a stream of that service.
+/// \param versions Keys of the versions that may have begun a stream of that service, as far as
+/// this router knows. \param current Whether its copy of the endpoints was current after the
+/// request had arrived. An older copy may lack the version that began the stream.
 take_up_decision decide_take_up(const std::optional<stream_origin>& origin, std::uint64_t service,
-                                std::span<const std::uint64_t> versions);
+                                std::span<const std::uint64_t> versions, bool current = true);
 
 /// \returns The first \p count routers in the stream's rendezvous order.
 std::vector<router_id> choose_holders(std::uint64_t stream, std::span<const router_id> routers,
--- a/endivestage/serving/exchange_versions.cpp
+++ b/endivestage/serving/exchange_versions.cpp
@@ -120,7 +120,19 @@
         co_return true;
     }
     state_.versions.refresh(service_, state_.endpoints, state_.time.now());
-    const std::optional<stream_origin> origin = co_await find_origin();
+    std::optional<stream_origin> origin = co_await find_origin();
+    bool current = true;
+    if (!origin && !state_.versions.is_mixed(service_))
+    {
+        // That this router has seen one version only says nothing while it is cut off or has an old
+        // copy: the stream may have begun at one that it has not seen.
+        current = state_.confirm_endpoints && co_await state_.confirm_endpoints();
+        state_.versions.refresh(service_, state_.endpoints, state_.time.now());
+        if (state_.versions.is_mixed(service_))
+        {
+            origin = co_await find_origin();
+        }
+    }
     if (caller_left_)
     {
         end_without_caller();
@@ -139,8 +151,11 @@
         }
     }
     const std::vector<std::uint64_t> versions = state_.versions.versions(service_);
-    const take_up_decision decision = decide_take_up(origin, hash64(service_.view()), versions);
-    const std::string_view step = !decision.goes_on ? "refused" : origin ? "known" : "only_version";
+    const take_up_decision decision =
+        decide_take_up(origin, hash64(service_.view()), versions, current);
+    const std::string_view step = decision.goes_on ? (origin ? "known" : "only_version")
+                                  : current        ? "refused"
+                                                   : "unconfirmed";
     state_.metrics.record_take_up(step);
     daemon::log_event(daemon::log_level::info, "stream_taken_up",
                       {{"request", decoded_.id},
--- a/endivestage/serving/replication_service.cpp
+++ b/endivestage/serving/replication_service.cpp
@@ -33,6 +33,11 @@
 /// then are kept for a grace period, which leaves less time to learn of it.
 constexpr millis settling_change_pause{100};
 constexpr millis idle_poll_interval{50};
+/// A call of confirm() without a response for this time is repeated while it is under way.
+constexpr millis confirm_repeat_interval{80};
+constexpr int max_confirm_calls = 3;
+/// Pause after a call of confirm() that failed.
+constexpr millis confirm_pause{250};
 /// Time for which a router asks relays for the tables at the first start of a fleet, when callers
 /// come only seconds later.
 constexpr millis first_start_period{4000};
@@ -406,6 +411,48 @@
     }
 }
 
+awaitable<void> replication_service::confirm_once(shared_table table)
+{
+    service_state& state = service_states_.at(table);
+    ++state.confirming;
+    state.confirm_sent_at = time_.now();
+    co_await poll_service(table, millis{0});
+    --state.confirming;
+    state.unconfirmed_at = state.reachable ? std::nullopt : std::optional(time_.now());
+    end_waits();
+}
+
+// Requests that come together share a call: one that was sent after a request arrived shows all
+// that the table had then.
+awaitable<bool> replication_service::confirm(shared_table table, millis max_wait)
+{
+    const service_state& state = service_states_.at(table);
+    const time_point asked = time_.now();
+    for (;;)
+    {
+        const time_point now = time_.now();
+        const std::optional<millis> copy_age = age(table);
+        if (copy_age && now - *copy_age >= asked)
+        {
+            co_return true;
+        }
+        const bool failed = state.unconfirmed_at && now - *state.unconfirmed_at < confirm_pause;
+        if (failed || now - asked >= max_wait)
+        {
+            co_return false;
+        }
+        // A connection that was open during a cut may stay silent after it; the next call opens
+        // another.
+        const bool repeats = state.confirming < max_confirm_calls &&
+                             now - state.confirm_sent_at >= confirm_repeat_interval;
+        if (state.confirming == 0 || repeats)
+        {
+            asio::co_spawn(context_, confirm_once(table), asio::detached);
+        }
+        co_await wait_for_change(std::min(confirm_repeat_interval, max_wait - (now - asked)));
+    }
+}
+
 awaitable<void> replication_service::exchange_loads()
 {
     for (;;)
--- a/endivestage/serving/replication_service.hpp
+++ b/endivestage/serving/replication_service.hpp
@@ -116,6 +116,11 @@
     /// that it waits has elapsed.
     daemon::awaitable<daemon::http_response> handle_peer_request(daemon::http_request request);
 
+    /// \brief Makes sure that the copy of a table includes all changes up to now.
+    /// \returns False if the table service does not answer within \p max_wait, or has not answered
+    /// such a call a moment ago.
+    daemon::awaitable<bool> confirm(shared_table table, millis max_wait);
+
     /// \brief Records the sums over the followers of another relay.
     void record_group_sums(const group_sums& sums);
 
@@ -156,6 +161,7 @@
     millis poll_wait(shared_table table) const;
     daemon::awaitable<millis> poll_service(shared_table table, millis max_wait);
     daemon::awaitable<void> refresh();
+    daemon::awaitable<void> confirm_once(shared_table table);
     void update_source(const change_source& source);
     daemon::awaitable<void> follow_relays();
     daemon::awaitable<std::error_code> poll_relay(relay_peer relay);
@@ -189,6 +195,9 @@
         bool reachable = false;    ///< The last call succeeded.
         std::int64_t failures = 0; ///< Consecutive failures.
         poll_progress progress;
+        int confirming = 0;                       ///< Calls of \ref confirm that are under way.
+        time_point confirm_sent_at;               ///< When the latest of them was sent.
+        std::optional<time_point> unconfirmed_at; ///< When the last such call failed.
     };
 
     /// \brief Encoded changes of a table for followers.
--- a/endivestage/serving/router_state.hpp
+++ b/endivestage/serving/router_state.hpp
@@ -132,6 +132,9 @@
     stream_origins origins;
     version_history versions;
     origin_service* origin_exchange = nullptr; ///< Null until the other routers are known.
+    /// Answers whether the copy of the endpoints includes all changes up to this call, which it
+    /// reads from the table service if need be; empty until there are copies.
+    std::function<daemon::awaitable<bool>()> confirm_endpoints;
     rollout_book rollouts;
     /// Responses during roll-outs that no relay has counted yet.
     std::map<service_id, evidence_counts> rollout_evidence;
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -33,6 +33,8 @@
 /// Routers that have started, or missed a datagram, learn of a quarantine within about this time.
 constexpr millis reminder_interval{1000};
 constexpr millis join_retry_delay{300};
+/// A slow table service answers within this time. A caller whose stream cannot go on comes back.
+constexpr millis confirm_wait{250};
 /// Time after which the address responses of other routers omit a stopping router.
 constexpr millis leave_propagation_time{500};
 /// On the peer port, for the command rollouts.
@@ -318,6 +320,10 @@
     replication_ =
         std::make_unique<replication_service>(context_, time_, *platform_.tables, settings_.name,
                                               std::move(choice), std::move(callbacks));
+    state_.confirm_endpoints = [this]
+    {
+        return replication_->confirm(shared_table::endpoints, confirm_wait);
+    };
     start_rollouts();
     replication_->start(listed_routers, settings_.first_start);
     peer_service_->on_sighting(
--- a/tests/stream_versions_test.cpp
+++ b/tests/stream_versions_test.cpp
@@ -81,6 +81,18 @@
     REQUIRE(decide_take_up(stream_origin{service, 1}, service, one).version == 1);
 }
 
+// Guards against the only version that a router has seen being taken for the only one that is
+// there: its copy of the endpoints is old.
+TEST_CASE("a stream of unknown origin does not go on by an old copy")
+{
+    const std::uint64_t service = 7;
+    const std::vector<std::uint64_t> one{2};
+    REQUIRE_FALSE(decide_take_up(std::nullopt, service, one, false).goes_on);
+    REQUIRE_FALSE(decide_take_up(std::nullopt, service, {}, false).goes_on);
+    REQUIRE(decide_take_up(std::nullopt, service, one, true).goes_on);
+    REQUIRE(decide_take_up(stream_origin{service, 2}, service, one, false).goes_on);
+}
+
 // Guards against an origin that two routers state differently, and against old ones.
 TEST_CASE("an origin is forgotten in time and never chosen among several")
 {
