Keep roll-outs going after a restore of the store

Cause: an order was named by its row's revision, and each write of a record has the revisions of two rows as its condition. After a restore from an older copy the order that is written again has a lower or equal revision and was ignored, and every write failed on revisions of the earlier era, or could have succeeded by accident. The operator got no status any more. Change: orders are named by era and revision, and keep their name when they are written again with the same content. The store client refuses conditions of an earlier era and takes an answer of a later one for an unknown outcome. The primary writes a lost or older record again. Conclusion: no condition holds across eras, and no order is done twice or forgotten by routers that keep running.

--- a/endivestage/rollout/record.cpp
+++ b/endivestage/rollout/record.cpp
@@ -40,18 +40,25 @@
     return is_final(record.phase) && record.announced;
 }
 
+bool has_same_content(const rollout_order& a, const rollout_order& b)
+{
+    return a.service == b.service && a.to == b.to && a.duration == b.duration;
+}
+
 rollout_record begin_rollout(const rollout_order& order, const rollout_record* previous,
                              time_point wall_now)
 {
     rollout_record record;
     record.service = order.service;
     record.order_revision = order.revision;
+    record.order_era = order.era;
     record.to = order.to;
     record.reason = "ordered";
     record.ordered_at = wall_now;
     if (previous != nullptr)
     {
         record.row_revision = previous->row_revision;
+        record.row_era = previous->row_era;
         if (previous->phase == rollout_phase::completed)
         {
             record.base = previous->to;
@@ -81,9 +88,9 @@
 
 bool may_replace(const rollout_record& next, const rollout_record& current)
 {
-    if (next.order_revision != current.order_revision)
+    if (next.order_identity() != current.order_identity())
     {
-        return next.order_revision > current.order_revision;
+        return next.order_identity() > current.order_identity();
     }
     if (is_final(current.phase))
     {
--- a/endivestage/rollout/record.hpp
+++ b/endivestage/rollout/record.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <endivestage/core.hpp>
+#include <endivestage/replication/table_position.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -20,8 +21,18 @@
     std::string to; ///< The version that is to get the service's traffic.
     millis duration{0};
     std::uint64_t revision = 0; ///< Revision of the order's row; a later order has a higher one.
+    std::uint64_t era = 0;      ///< Of the revision.
+    /// Position of the order's row now. It differs after a restore of the table service: the row
+    /// was written again, the order is the same.
+    table_position row;
+
+    /// \returns What tells the order from others; it increases from order to order.
+    table_position identity() const { return {revision, era}; }
 };
 
+/// \returns Whether two orders ask for the same.
+bool has_same_content(const rollout_order& a, const rollout_order& b);
+
 /// \brief Phases of a roll-out. They only move forward.
 enum class rollout_phase
 {
@@ -45,6 +56,7 @@
 {
     service_id service;
     std::uint64_t order_revision = 0;
+    std::uint64_t order_era = 0;
     std::string to;
     rollout_phase phase = rollout_phase::serving;
     /// The operator was told the final phase. All routers act on it some time before, so that no
@@ -56,6 +68,11 @@
     std::string base;      ///< The only old version; empty if all others are old ones.
     std::set<std::string> excluded; ///< Versions of earlier orders that must not get requests.
     std::uint64_t row_revision = 0; ///< Of the stored row; 0 before the first write.
+    std::uint64_t row_era = 0;      ///< Of \ref row_revision.
+    /// A restore of the table service has taken this record back; the row is older or gone.
+    bool lost = false;
+
+    table_position order_identity() const { return {order_revision, order_era}; }
 };
 
 /// \returns Whether nothing more is to be done.
--- a/endivestage/rollout/traffic.cpp
+++ b/endivestage/rollout/traffic.cpp
@@ -51,7 +51,7 @@
         return std::nullopt;
     }
     const bool unread =
-        order != nullptr && (record == nullptr || record->order_revision < order->revision);
+        order != nullptr && (record == nullptr || record->order_identity() < order->identity());
     const rollout_record current = unread ? begin_rollout(*order, record, {}) : *record;
     traffic_rule rule;
     rule.to = current.to;
@@ -129,10 +129,31 @@
     return choice;
 }
 
-void rollout_book::set_order(const rollout_order& order)
+bool rollout_book::set_order(rollout_order order)
 {
+    const rollout_order* known = this->order(order.service);
+    const rollout_record* stored = record(order.service);
+    if (known != nullptr && known->row.era < order.row.era && has_same_content(*known, order))
+    {
+        rollout_order rewritten = *known;
+        rewritten.row = order.row;
+        orders_[order.service] = std::move(rewritten);
+        return false;
+    }
+    if (known != nullptr && known->identity() >= order.identity())
+    {
+        return false;
+    }
+    if (known == nullptr && stored != nullptr && stored->order_era < order.era &&
+        stored->to == order.to)
+    {
+        // This router has started, or has dropped the order, since the restore.
+        order.revision = stored->order_revision;
+        order.era = stored->order_era;
+    }
     orders_[order.service] = order;
     update(order.service);
+    return true;
 }
 
 void rollout_book::remove_order(const service_id& service)
@@ -146,6 +167,12 @@
     const auto it = records_.find(record.service);
     if (it != records_.end() && !may_replace(record, it->second))
     {
+        rollout_record& known = it->second;
+        const bool same = known.order_identity() == record.order_identity() &&
+                          known.phase == record.phase && known.announced == record.announced;
+        known.lost = !same && (known.lost || known.row_era < record.row_era);
+        known.row_revision = record.row_revision;
+        known.row_era = record.row_era;
         return false;
     }
     records_[record.service] = record;
@@ -153,6 +180,25 @@
     return true;
 }
 
+void rollout_book::record_missing(const service_id& service, const table_position& position)
+{
+    const auto it = records_.find(service);
+    if (it != records_.end() && it->second.row_era < position.era)
+    {
+        it->second.lost = true;
+        it->second.row_revision = 0;
+        it->second.row_era = position.era;
+    }
+}
+
+bool rollout_book::is_lost(const service_id& service) const
+{
+    const rollout_order* ordered = order(service);
+    const rollout_record* known = record(service);
+    return ordered != nullptr && known != nullptr && known->lost &&
+           known->order_identity() == ordered->identity();
+}
+
 void rollout_book::update(const service_id& service)
 {
     std::optional<traffic_rule> rule = make_traffic_rule(order(service), record(service));
@@ -186,7 +232,7 @@
     const rollout_order* ordered = order(service);
     const rollout_record* known = record(service);
     return ordered != nullptr &&
-           (known == nullptr || known->order_revision < ordered->revision || !is_ended(*known));
+           (known == nullptr || known->order_identity() < ordered->identity() || !is_ended(*known));
 }
 
 } // namespace endivestage
--- a/endivestage/rollout/traffic.hpp
+++ b/endivestage/rollout/traffic.hpp
@@ -58,10 +58,16 @@
 class rollout_book
 {
 public:
-    void set_order(const rollout_order& order);
+    /// \returns False if the order is known, or older than the known one. One that was written
+    /// again after a restore of the table service stays the order that it was.
+    bool set_order(rollout_order order);
     void remove_order(const service_id& service);
-    /// \returns Whether the record replaced the known one.
+    /// \returns Whether the record replaced the known one. One that is behind it after a restore of
+    /// the table service marks the known one as lost, with the row that is to be replaced.
     bool set_record(const rollout_record& record);
+    /// \brief Notes that a restore of the table service has lost the row of a record.
+    /// \param position Of the table without the row.
+    void record_missing(const service_id& service, const table_position& position);
 
     /// \returns The rule of a service; null if endpoints of all versions may get requests.
     const traffic_rule* rule(const service_id& service) const;
@@ -73,6 +79,9 @@
     /// \returns Whether the order's roll-out has not ended, so that evidence is collected.
     bool is_active(const service_id& service) const;
 
+    /// \returns Whether the record of the service's order has to be written again.
+    bool is_lost(const service_id& service) const;
+
 private:
     void update(const service_id& service);
 
--- a/endivestage/serving/rollout_rows.cpp
+++ b/endivestage/serving/rollout_rows.cpp
@@ -59,6 +59,7 @@
         excluded.emplace_back(version);
     }
     return json::serialize(json::object{{"order", record.order_revision},
+                                        {"era", record.order_era},
                                         {"to", record.to},
                                         {"phase", to_string(record.phase)},
                                         {"announced", record.announced},
@@ -80,6 +81,7 @@
     rollout_record record;
     record.service = service;
     record.order_revision = daemon::get_unsigned(*row, "order");
+    record.order_era = daemon::get_unsigned(*row, "era");
     record.to = daemon::get_text(*row, "to");
     record.announced = daemon::get_flag(*row, "announced");
     record.share = daemon::get_real(*row, "share", -1.0);
@@ -111,7 +113,8 @@
                                          encode_times(responses)});
     }
     return {{"service", counts.service.view()},
-            {"order", counts.order_revision},
+            {"order", counts.order.revision},
+            {"era", counts.order.era},
             {"counts", std::move(encoded)}};
 }
 
@@ -119,7 +122,7 @@
 {
     rollout_counts decoded;
     decoded.service = service_id(daemon::get_text(encoded, "service"));
-    decoded.order_revision = daemon::get_unsigned(encoded, "order");
+    decoded.order = {daemon::get_unsigned(encoded, "order"), daemon::get_unsigned(encoded, "era")};
     for (const json::value& value : daemon::get_array(encoded, "counts"))
     {
         const json::array* entry = value.if_array();
--- a/endivestage/serving/rollout_rows.hpp
+++ b/endivestage/serving/rollout_rows.hpp
@@ -28,7 +28,7 @@
 struct rollout_counts
 {
     service_id service;
-    std::uint64_t order_revision = 0;
+    table_position order;
     evidence_counts counts;
 };
 
--- a/endivestage/serving/rollout_service.cpp
+++ b/endivestage/serving/rollout_service.cpp
@@ -70,15 +70,13 @@
         log_event(log_level::info, "rollout_order_removed", {{"service", order.service}});
         return;
     }
-    const rollout_order* known = state_.rollouts.order(order.service);
-    if (known != nullptr && known->revision >= order.revision)
+    if (!state_.rollouts.set_order(order))
     {
         return;
     }
-    state_.rollouts.set_order(order);
     progress& begun = progress_[order.service];
     begun = progress{};
-    begun.order_revision = order.revision;
+    begun.order = state_.rollouts.order(order.service)->identity();
     begun.first_seen = state_.time.now();
     begun.seen_at_start = starting;
     begun.controller = rollout_controller(to_config(state_.bounds));
@@ -91,9 +89,15 @@
                {"duration_ms", order.duration}});
 }
 
-void rollout_service::apply_record(const replicated_row& row)
+void rollout_service::apply_record(const replicated_row& row, std::uint64_t era)
 {
     const std::optional<service_id> service = parse_rollout_row_key(row.key);
+    const rollout_record* known = service ? state_.rollouts.record(*service) : nullptr;
+    if (row.deleted && known != nullptr && known->row_era < era)
+    {
+        state_.rollouts.record_missing(*service, {row.revision, era});
+        return;
+    }
     result<rollout_record> record = make_error_code(errc::invalid_request);
     if (service && !row.deleted)
     {
@@ -105,6 +109,7 @@
         return;
     }
     record->row_revision = row.revision;
+    record->row_era = era;
     if (!state_.rollouts.set_record(*record))
     {
         return;
@@ -120,10 +125,10 @@
 }
 
 rollout_service::progress* rollout_service::find(const service_id& service,
-                                                 std::uint64_t order_revision)
+                                                 const table_position& order)
 {
     const auto it = progress_.find(service);
-    const bool known = it != progress_.end() && it->second.order_revision == order_revision;
+    const bool known = it != progress_.end() && it->second.order == order;
     return known ? &it->second : nullptr;
 }
 
@@ -147,7 +152,7 @@
         const rollout_order* order = state_.rollouts.order(service);
         if (order != nullptr)
         {
-            rollouts.emplace_back(encode_rollout_counts({service, order->revision, counts}));
+            rollouts.emplace_back(encode_rollout_counts({service, order->identity(), counts}));
         }
     }
     reported_ = std::exchange(state_.rollout_evidence, {});
@@ -186,7 +191,7 @@
             continue;
         }
         const rollout_counts reported = decode_rollout_counts(entry.get_object());
-        progress* known = find(reported.service, reported.order_revision);
+        progress* known = find(reported.service, reported.order);
         if (known != nullptr)
         {
             add(known->group, reported.counts);
@@ -202,7 +207,7 @@
         return;
     }
     rollout_counts sums = decode_rollout_counts(*parsed);
-    progress* known = find(sums.service, sums.order_revision);
+    progress* known = find(sums.service, sums.order);
     if (known == nullptr)
     {
         return;
@@ -224,8 +229,8 @@
     {
         if (state_.rollouts.is_active(service))
         {
-            sources_.send(relay, json::serialize(encode_rollout_counts(
-                                     {service, known.order_revision, known.group})));
+            sources_.send(
+                relay, json::serialize(encode_rollout_counts({service, known.order, known.group})));
         }
     }
 }
@@ -263,7 +268,8 @@
         for (auto& [service, known] : progress_)
         {
             const rollout_order* order = state_.rollouts.order(service);
-            if (order != nullptr && sources_.is_primary() && state_.rollouts.is_active(service))
+            if (order != nullptr && sources_.is_primary() &&
+                (state_.rollouts.is_active(service) || state_.rollouts.is_lost(service)))
             {
                 decide(*order, known);
             }
@@ -275,7 +281,7 @@
 {
     const millis since_seen = state_.time.now() - state.first_seen;
     const rollout_record* record = state_.rollouts.record(order.service);
-    if (!state.seen_at_start || record == nullptr || record->order_revision != order.revision)
+    if (!state.seen_at_start || record == nullptr || record->order_identity() != order.identity())
     {
         return since_seen;
     }
@@ -344,20 +350,24 @@
 {
     const time_point now = state_.time.now();
     const rollout_record* stored = state_.rollouts.record(order.service);
-    const std::uint64_t revision = stored != nullptr ? stored->row_revision : 0;
-    if (state.writing || (now < state.next_write_at && revision == state.written_over))
+    const table_position row = stored != nullptr
+                                   ? table_position{stored->row_revision, stored->row_era}
+                                   : table_position{};
+    if (state.writing || (now < state.next_write_at && row == state.written_over))
     {
         return;
     }
-    const bool begun = stored != nullptr && stored->order_revision == order.revision;
+    const bool begun = stored != nullptr && stored->order_identity() == order.identity();
     const rollout_record current =
         begun ? *stored : begin_rollout(order, stored, state_.time.wall_now());
     std::optional<rollout_record> next =
-        state.controller.decide(order, current, observe(order, state), now);
+        state_.rollouts.is_lost(order.service)
+            ? current
+            : state.controller.decide(order, current, observe(order, state), now);
     if (next)
     {
         state.writing = true;
-        state.written_over = revision;
+        state.written_over = row;
         asio::co_spawn(context_, write(order, std::move(*next)), asio::detached);
     }
 }
@@ -366,8 +376,8 @@
 {
     rollout_write change;
     change.service = order.service;
-    change.order_revision = order.revision;
-    change.record_revision = next.row_revision;
+    change.order = order.row;
+    change.known_record = {next.row_revision, next.row_era};
     change.record_key = rollout_row_key(order.service);
     change.record = encode_rollout_row(next);
     change.to = order.to;
@@ -379,7 +389,7 @@
         log_event(log_level::warning, "rollout_write_failed",
                   {{"service", order.service}, {"phase", to_string(next.phase)}, ec});
     }
-    progress* known = find(order.service, order.revision);
+    progress* known = find(order.service, order.identity());
     if (known != nullptr)
     {
         known->writing = false;
@@ -402,7 +412,7 @@
             {"share", record.share},
             {"reason", record.reason},
             {"order", record.order_revision},
-            {"ordered", order != nullptr && order->revision == record.order_revision}};
+            {"ordered", order != nullptr && order->identity() == record.order_identity()}};
         if (it != progress_.end() && sources_.is_primary && sources_.is_primary())
         {
             const evidence_counts counts = sum(it->second);
@@ -414,7 +424,7 @@
     for (const auto& [service, order] : state_.rollouts.orders())
     {
         const rollout_record* record = state_.rollouts.record(service);
-        if (record == nullptr || record->order_revision < order.revision)
+        if (record == nullptr || record->order_identity() < order.identity())
         {
             rollouts.emplace_back(json::object{{"service", service.view()},
                                                {"to", order.to},
--- a/endivestage/serving/rollout_service.hpp
+++ b/endivestage/serving/rollout_service.hpp
@@ -42,7 +42,8 @@
     void apply_order(const rollout_order& order, bool starting);
 
     /// \brief Applies a row of the routers' table with a record.
-    void apply_record(const replicated_row& row);
+    /// \param era Of the row.
+    void apply_record(const replicated_row& row, std::uint64_t era);
 
     /// \brief Records the sums of another relay's followers.
     void apply_relay_counts(std::uint64_t relay, std::string_view text);
@@ -67,14 +68,14 @@
     /// \brief State of one order.
     struct progress
     {
-        std::uint64_t order_revision = 0;
+        table_position order;
         time_point first_seen;
         bool seen_at_start = false; ///< The order may be older than first_seen.
         rollout_controller controller{{}};
         evidence_counts group;                        ///< Of this relay and its followers.
         std::map<std::uint64_t, relay_counts> relays; ///< By hash of the relay's id.
         bool writing = false;
-        std::uint64_t written_over = 0; ///< Revision of the row that the last write replaced.
+        table_position written_over; ///< Of the row that the last write replaced.
         time_point next_write_at;
     };
 
@@ -85,7 +86,7 @@
     rollout_observation observe(const rollout_order& order, const progress& state) const;
     evidence_counts sum(const progress& state) const;
     bool hears_relays(const progress& state) const;
-    progress* find(const service_id& service, std::uint64_t order_revision);
+    progress* find(const service_id& service, const table_position& order);
     void collect();
 
     boost::asio::io_context& context_;
--- a/endivestage/serving/server_tables.cpp
+++ b/endivestage/serving/server_tables.cpp
@@ -60,7 +60,7 @@
         const std::optional<service_id> versions = parse_version_row_key(row.key);
         if (parse_rollout_row_key(row.key))
         {
-            rollout_service_.apply_record(row);
+            rollout_service_.apply_record(row, replication_->replica(shared_table::routers).era());
         }
         else if (versions)
         {
@@ -199,7 +199,10 @@
         log_event(log_level::error, "rollout_refused", {{"key", row.key}, order.error()});
         return;
     }
-    rollout_service_.apply_order(*order, state_.lifecycle == lifecycle_state::starting);
+    rollout_order positioned = *order;
+    positioned.era = replication_->replica(shared_table::operations).era();
+    positioned.row = positioned.identity();
+    rollout_service_.apply_order(positioned, state_.lifecycle == lifecycle_state::starting);
 }
 
 void server::update_rollout_metrics()
--- a/endivestage/serving/table_client.hpp
+++ b/endivestage/serving/table_client.hpp
@@ -40,9 +40,9 @@
 struct rollout_write
 {
     service_id service;
-    std::uint64_t order_revision = 0;  ///< Of the order's row.
-    std::uint64_t record_revision = 0; ///< Of the record's row; 0 if there is none yet.
-    std::string record_key;            ///< In the routers' table.
+    table_position order;        ///< Of the order's row.
+    table_position known_record; ///< Of the record's row; revision 0 if there is none yet.
+    std::string record_key;      ///< In the routers' table.
     std::string record;
     std::string to;            ///< Told to the operator.
     std::string_view progress; ///< Told to the operator: "serving", "completed" or "reverted".
@@ -76,7 +76,9 @@
     virtual daemon::awaitable<std::error_code> erase(shared_table table, std::string key) = 0;
 
     /// \brief Writes the record and the operator's status of a roll-out, both or neither.
-    /// \returns errc::conflict when the order or the record has changed.
+    /// \returns errc::conflict when the order or the record has changed, or the position of one
+    /// belongs to an earlier era; errc::store_unavailable when an era has ended meanwhile, so that
+    /// it is unknown which rows the revisions meant.
     virtual daemon::awaitable<std::error_code> write_rollout(rollout_write change) = 0;
 
 protected:
--- a/tests/daemon_rollout_test.cpp
+++ b/tests/daemon_rollout_test.cpp
@@ -276,3 +276,75 @@
         });
     REQUIRE(f.status() == R"({"to":"v2","state":"reverted"})");
 }
+
+// Guards against an order that is done twice, or forgotten, when the store comes back from an older
+// copy: the record and the order are gone, and the operator writes the order again.
+TEST_CASE("a roll-out that has ended stays ended after a restore of the store")
+{
+    versioned_fleet f;
+    const platform_engine& fresh = f.add_version("new-1", "v2", fail);
+    f.store.era = 1;
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            co_await f.pause(200);
+            f.store.keep_copy();
+            f.order("v2", 5);
+            f.start_callers();
+            co_await f.wait_decided();
+            REQUIRE(f.status() == R"({"to":"v2","state":"reverted"})");
+            const std::size_t before = fresh.received().size();
+            f.store.restore();
+            REQUIRE(f.status().empty());
+            co_await f.pause(500);
+            f.order("v2", 5);
+            co_await f.wait_decided();
+            REQUIRE(f.status() == R"({"to":"v2","state":"reverted"})");
+            co_await f.pause(1500);
+            REQUIRE(fresh.received().size() == before);
+            // An order of the operator within the era is a new one.
+            f.order("v3", 5);
+            co_await f.pause(1500);
+            REQUIRE(f.store.get("endivestage-routers", "rollout/pool").find("v3") !=
+                    std::string::npos);
+            co_await f.stop_callers();
+        });
+}
+
+// Guards against a roll-out that never ends, because each of its writes has the condition of a row
+// that a restored store does not have.
+TEST_CASE("a roll-out goes on after a restore of the store")
+{
+    const bool order_lost = GENERATE(true, false);
+    CAPTURE(order_lost);
+    versioned_fleet f;
+    f.add_version("new-1", "v2", respond_ok());
+    f.store.era = 1;
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            co_await f.pause(200);
+            if (order_lost)
+            {
+                f.store.keep_copy();
+            }
+            f.order("v2", 5);
+            if (!order_lost)
+            {
+                f.store.keep_copy();
+            }
+            f.start_callers();
+            co_await f.pause(1500);
+            f.store.restore();
+            co_await f.pause(300);
+            if (order_lost)
+            {
+                f.order("v2", 5);
+            }
+            co_await f.wait_decided();
+            REQUIRE(f.status() == R"({"to":"v2","state":"completed"})");
+            co_await f.stop_callers();
+        });
+}
