Pause after feeds that answer at once with nothing new

Cause: an answer counted as progress when its revision was higher or it had rows, also where the copy had them all. A store that answers every feed at once with the same row was asked without a pause. Conclusion: each answer that tells nothing new is followed by a pause that grows, whatever it looks like.

--- a/endivestage/replication/poll_progress.cpp
+++ b/endivestage/replication/poll_progress.cpp
@@ -29,7 +29,7 @@
         return listed_before ? poll_stall::listed_again : poll_stall::none;
     }
     const bool early = answer.max_wait > short_wait && answer.took * 2 < answer.max_wait;
-    return early && answer.position == *answer.known ? poll_stall::early : poll_stall::none;
+    return early && !answer.changed ? poll_stall::early : poll_stall::none;
 }
 
 } // namespace
--- a/endivestage/replication/poll_progress.hpp
+++ b/endivestage/replication/poll_progress.hpp
@@ -19,7 +19,8 @@
     table_position position;             ///< Of the answer.
     bool listed = false;                 ///< The whole table, since the feed lacked the history.
     millis took{0};
-    millis max_wait{0}; ///< Time that the service was to wait for a change.
+    millis max_wait{0};   ///< Time that the service was to wait for a change.
+    bool changed = false; ///< It changed the copy.
 };
 
 /// \brief Why an answer makes no progress.
@@ -28,7 +29,7 @@
     none,
     listed_again, ///< The feed lacks the history of the list before it.
     older,        ///< The answer is older than the copy.
-    early,        ///< The feed did not wait for a change.
+    early,        ///< The feed did not wait for a change, or had none that was new.
 };
 
 /// \returns The snake_case name of a reason.
--- a/endivestage/serving/replication_service.cpp
+++ b/endivestage/serving/replication_service.cpp
@@ -174,7 +174,7 @@
     return has_copy && source_era > era();
 }
 
-void replication_service::apply(shared_table table, const change_batch& batch)
+bool replication_service::apply(shared_table table, const change_batch& batch)
 {
     const bool was_complete = is_complete();
     table_replica& replica = replicas_.at(table);
@@ -205,6 +205,7 @@
     {
         end_waits();
     }
+    return !changed.empty();
 }
 
 void replication_service::end_waits()
@@ -285,13 +286,12 @@
     }
     service_clock_.observe(sent, response->timestamp);
     const bool is_older = position && response->batch.position() < *position;
-    const bool changed = !response->batch.rows.empty();
     if (is_restored(response->batch.era))
     {
         outage_.record_restore(time_.now());
         ++restores_;
     }
-    apply(table, response->batch);
+    const bool changed = apply(table, response->batch);
     if (!is_older)
     {
         renew_freshness(
@@ -299,8 +299,8 @@
             std::max(sent, service_clock_.earliest_local(response->timestamp).value_or(sent)));
     }
     callbacks_.on_updated();
-    const millis stalled = record_progress(
-        table, {position, response->batch.position(), listed, time_.now() - sent, max_wait});
+    const millis stalled = record_progress(table, {position, response->batch.position(), listed,
+                                                   time_.now() - sent, max_wait, changed});
     if (stalled > millis{0})
     {
         co_return stalled;
--- a/endivestage/serving/replication_service.hpp
+++ b/endivestage/serving/replication_service.hpp
@@ -174,7 +174,8 @@
     void encode_peer_response(const daemon::http_target& target,
                               std::span<const shared_table> changed, time_point now,
                               daemon::http_response& response);
-    void apply(shared_table table, const change_batch& batch);
+    /// \returns Whether the batch changed the copy.
+    bool apply(shared_table table, const change_batch& batch);
     void record_service_result(shared_table table, time_point sent, std::error_code ec);
     /// \returns The pause before the next poll; none if the answer makes progress.
     millis record_progress(shared_table table, const poll_answer& answer);
--- a/tests/daemon_replication_test.cpp
+++ b/tests/daemon_replication_test.cpp
@@ -28,6 +28,8 @@
     history_lost,      ///< Every feed lacks the history; lists have nothing new.
     older_list,        ///< The same, with lists of an older copy.
     early,             ///< Feeds answer at once with nothing new.
+    same_rows,         ///< The same, with a higher revision and a row that the copy has.
+    rising_era,        ///< Every answer belongs to a later era.
 };
 
 /// A table service whose feeds fail.
@@ -47,6 +49,7 @@
         const bool again = !listed_.insert(table).second;
         response.batch.revision = again && fault_ == feed_fault::older_list ? 1 : 2;
         response.batch.complete = true;
+        response.batch.era = fault_ == feed_fault::rising_era ? ++era_ : 0;
         return respond(std::move(response), response_time);
     }
 
@@ -64,7 +67,18 @@
         }
         timestamped_batch response;
         response.batch.revision = revision;
-        const bool early = fault_ == feed_fault::early;
+        bool early = fault_ == feed_fault::early;
+        if (fault_ == feed_fault::same_rows)
+        {
+            response.batch.revision = revision + 1;
+            response.batch.rows = {{"known", "data", 1, false}};
+            early = true;
+        }
+        if (fault_ == feed_fault::rising_era)
+        {
+            response.batch.era = ++era_;
+            early = true;
+        }
         return respond(std::move(response), early ? response_time : response_time + max_wait);
     }
 
@@ -103,6 +117,7 @@
     boost::asio::io_context& context_;
     feed_fault fault_;
     std::set<shared_table> listed_;
+    std::uint64_t era_ = 0;
 };
 
 /// \returns Two routers, of which \p self does not poll the table service for the other.
@@ -180,7 +195,8 @@
 TEST_CASE("answers that make no progress are followed by a pause")
 {
     const feed_fault fault =
-        GENERATE(feed_fault::history_lost, feed_fault::older_list, feed_fault::early);
+        GENERATE(feed_fault::history_lost, feed_fault::older_list, feed_fault::early,
+                 feed_fault::same_rows, feed_fault::rising_era);
     CAPTURE(static_cast<int>(fault));
     boost::asio::io_context context{1};
     const daemon::process_clock time;
--- a/tests/poll_progress_test.cpp
+++ b/tests/poll_progress_test.cpp
@@ -15,7 +15,7 @@
 
 poll_answer make_feed(std::uint64_t known, std::uint64_t revision, millis took = feed_wait)
 {
-    return {known, revision, false, took, feed_wait};
+    return {known, revision, false, took, feed_wait, revision > known};
 }
 
 poll_answer make_list(std::uint64_t known, std::uint64_t revision)
@@ -61,6 +61,19 @@
     REQUIRE(progress.pause(0) == millis{0});
 }
 
+// Guards against calls without a pause to a feed that answers at once, time after time, with rows
+// that the copy has.
+TEST_CASE("a feed that answers early with nothing new makes no progress")
+{
+    poll_progress progress;
+    for (std::uint64_t revision = 7; revision < 12; ++revision)
+    {
+        const poll_answer answer{revision, revision + 1, false, millis{1}, feed_wait, false};
+        REQUIRE(progress.record(answer) == poll_stall::early);
+    }
+    REQUIRE(progress.pause(0) == millis{500});
+}
+
 // Property: however a service answers, a poller that gets nothing new asks at most about ten times
 // a second at first and four times a second later.
 TEST_CASE("the pause after answers without progress stays within its bounds")
