Refresh a copy only when it is no longer fresh

Cause: a router for which no relay is left keeps the table service as its source, and repeated a refresh that had succeeded at once. After a drill, where relays are still in an earlier era or have lost the store, all routers do that for up to 3 s. Change: a copy that is younger than the primary's poll interval is not refreshed. Before: daemon_replication_test "a router without a relay refreshes its copies with a pause", 418,753 feeds in 2.5 s of a mock (bound 40).

--- a/endivestage/serving/replication_service.cpp
+++ b/endivestage/serving/replication_service.cpp
@@ -514,6 +514,14 @@
         }
         if (source.type == change_source::kind::refresh)
         {
+            // Without a relay the source stays the table service, also while the copy is fresh.
+            const millis fresh_for = source_choice_.timing().poll_wait -
+                                     copy_age.value_or(source_choice_.timing().poll_wait);
+            if (fresh_for > millis{0})
+            {
+                co_await wait_for_change(fresh_for);
+                continue;
+            }
             co_await refresh();
             continue;
         }
--- a/tests/daemon_replication_test.cpp
+++ b/tests/daemon_replication_test.cpp
@@ -256,6 +256,7 @@
     explicit cut_service(boost::asio::io_context& context) : context_(context) {}
 
     bool cut = false;
+    int feeds = 0;
 
     daemon::awaitable<result<timestamped_batch>> list(shared_table table) override
     {
@@ -272,6 +273,7 @@
     daemon::awaitable<result<timestamped_batch>>
     fetch_changes(shared_table table, std::uint64_t revision, millis max_wait) override
     {
+        ++feeds;
         timestamped_batch response;
         response.batch.revision = revision;
         const bool removed = table == shared_table::endpoints && was_cut_ && !cut && revision < 3;
@@ -370,3 +372,26 @@
     context.run_for(std::chrono::milliseconds(6000));
     REQUIRE(removals == std::vector<bool>{false});
 }
+
+// Load: each router of a fleet after a short silence of the table service, while no relay answers.
+// Guards against refreshes without a pause: every one succeeds, and the source stays the same.
+TEST_CASE("a router without a relay refreshes its copies with a pause")
+{
+    boost::asio::io_context context{1};
+    const daemon::process_clock time;
+    cut_service tables(context);
+    const router_id self("self");
+    replication_service service(context, time, tables, self,
+                                source_choice({}, self, zone_id("zone-a")),
+                                make_callbacks(self, unused_port));
+    service.start(make_registrations(), false);
+    context.run_for(std::chrono::milliseconds(2500));
+    REQUIRE(service.is_complete());
+    tables.cut = true;
+    context.run_for(std::chrono::milliseconds(2500));
+    tables.cut = false;
+    const int before = tables.feeds;
+    context.run_for(std::chrono::milliseconds(2500));
+    REQUIRE(tables.feeds > before);
+    REQUIRE(tables.feeds - before < 40);
+}
