Log how old a skipped relay's copy is, and when a router stops reading the store

Cause: relay_failed named a relay and stale_view, but neither the age that the relay stated nor how long it is skipped, and nothing was logged when a router excluded itself from reading the store. Change: relay_failed states relay_age_ms, age_ms and skipped_ms; service_reads_paused states the table, failures and paused_ms. Conclusion: a log tells who excluded whom, why and until when.

--- a/endivestage/replication/source_choice.hpp
+++ b/endivestage/replication/source_choice.hpp
@@ -97,6 +97,8 @@
     /// \returns Whether a relay with a copy of this age has lost its source.
     bool is_relay_stale(millis age) const { return age > config_.timing.relay_stale_after; }
 
+    millis failed_relay_delay() const { return config_.failed_relay_delay; }
+
     const replication_timing& timing() const { return config_.timing; }
     void set_timing(const replication_timing& timing) { config_.timing = timing; }
 
--- a/endivestage/serving/replication_polls.cpp
+++ b/endivestage/serving/replication_polls.cpp
@@ -71,6 +71,16 @@
     state.failures = 0;
 }
 
+void replication_service::exclude_self(shared_table table)
+{
+    source_choice_.record_failure(self_, time_.now());
+    log_event(log_level::info, "service_reads_paused",
+              {{"table", to_string(table)},
+               {"failures", service_states_.at(table).failures},
+               {"age_ms", age().value_or(millis{-1})},
+               {"paused_ms", source_choice_.failed_relay_delay()}});
+}
+
 awaitable<millis> replication_service::poll_service(shared_table table, millis max_wait)
 {
     const std::optional<table_position> position = replicas_.at(table).position();
@@ -97,7 +107,7 @@
         const std::int64_t failures = service_states_.at(table).failures;
         if (table == shared_table::operations && failures >= max_service_failures)
         {
-            source_choice_.record_failure(self_, time_.now());
+            exclude_self(shared_table::operations);
         }
         const millis delay =
             std::min(max_retry_delay, initial_retry_delay * std::min<std::int64_t>(failures, 8));
@@ -208,7 +218,7 @@
     }
     if (!reachable)
     {
-        source_choice_.record_failure(self_, time_.now());
+        exclude_self(operations.reachable ? shared_table::endpoints : shared_table::operations);
     }
     if (!reachable || operations.progress.stalls() > 0 || endpoints.progress.stalls() > 0)
     {
--- a/endivestage/serving/replication_relays.cpp
+++ b/endivestage/serving/replication_relays.cpp
@@ -190,6 +190,7 @@
 
 awaitable<std::error_code> replication_service::poll_relay(relay_peer relay)
 {
+    relay_answer_age_.reset();
     std::error_code ec = co_await connect_to_relay(relay);
     if (!ec)
     {
@@ -201,7 +202,12 @@
         if (is_complete() || ec != errc::peer_unavailable)
         {
             source_choice_.record_failure(relay.candidate.id, time_.now());
-            log_event(log_level::info, "relay_failed", {{"router", relay.candidate.id}, ec});
+            log_event(log_level::info, "relay_failed",
+                      {{"router", relay.candidate.id},
+                       ec,
+                       {"relay_age_ms", relay_answer_age_.value_or(millis{-1})},
+                       {"age_ms", age().value_or(millis{-1})},
+                       {"skipped_ms", source_choice_.failed_relay_delay()}});
         }
         relay_connection_.reset();
     }
@@ -335,6 +341,10 @@
     const std::int64_t age_ms = daemon::get_number(*response, "age_ms", -1);
     // Relays that run an earlier release state the age of the operator's table only.
     const std::int64_t endpoints_age_ms = daemon::get_number(*response, "endpoints_age_ms", age_ms);
+    if (age_ms >= 0 && endpoints_age_ms >= 0)
+    {
+        relay_answer_age_ = millis{std::max(age_ms, endpoints_age_ms)};
+    }
     // The age of a copy of an earlier era says nothing about this router's copy.
     const bool is_behind = std::any_of(
         aged_tables.begin(), aged_tables.end(),
--- a/endivestage/serving/replication_service.hpp
+++ b/endivestage/serving/replication_service.hpp
@@ -177,6 +177,8 @@
     /// \returns Whether the batch changed the copy.
     bool apply(shared_table table, const change_batch& batch);
     void record_service_result(shared_table table, time_point sent, std::error_code ec);
+    /// \brief Lets this router follow others after calls for \p table have failed.
+    void exclude_self(shared_table table);
     /// \returns The pause before the next poll; none if the answer makes progress.
     millis record_progress(shared_table table, const poll_answer& answer);
     void renew_freshness(shared_table table, time_point instant);
@@ -227,7 +229,8 @@
     router_id connected_relay_;
     bool relaying_ = false;
     bool primary_ = false;
-    router_id current_relay_; ///< Relay polled last; empty for the table service.
+    router_id current_relay_;                ///< Relay polled last; empty for the table service.
+    std::optional<millis> relay_answer_age_; ///< Age that the relay has stated in this poll.
     bool reads_routers_again_ = false;
     time_point probes_known_at_; ///< From then on the failure detector tells which routers live.
     std::optional<start_sequence> start_sequence_; ///< Set until this router has its first copies.
