--- a/tests/daemon_store_client_test.cpp
+++ b/tests/daemon_store_client_test.cpp
@@ -4,12 +4,17 @@
 #include <platform/store_client.hpp>
 #include <standin/platform_store.hpp>
 
+#include <array>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <cstdio>
 #include <exception>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -164,3 +169,117 @@
     REQUIRE(listed->has_value());
     REQUIRE((*listed)->batch.rows.size() == 60);
 }
+
+namespace
+{
+
+/// A table service with empty tables whose older connections go silent.
+class silencing_service
+{
+public:
+    explicit silencing_service(asio::io_context& context)
+        : acceptor_(context, {asio::ip::address_v4::loopback(), 0})
+    {
+        accept();
+    }
+
+    std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+    int connections() const { return connections_; }
+
+    /// Connections up to this one deliver nothing more.
+    int silent_up_to = 0;
+
+private:
+    struct session
+    {
+        asio::ip::tcp::socket socket;
+        int number;
+        std::array<char, 4096> request{};
+        std::string answer;
+    };
+
+    void accept()
+    {
+        acceptor_.async_accept(
+            [this](const boost::system::error_code& ec, asio::ip::tcp::socket socket)
+            {
+                if (!ec)
+                {
+                    serve(std::make_shared<session>(session{std::move(socket), ++connections_}));
+                    accept();
+                }
+            });
+    }
+
+    void serve(const std::shared_ptr<session>& peer)
+    {
+        const std::string body = R"({"rows":[],"has_more":false,"row_version":1,"now_ms":1})";
+        peer->answer = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
+                       std::to_string(body.size()) + "\r\n\r\n" + body;
+        peer->socket.async_read_some(asio::buffer(peer->request),
+                                     [this, peer](const boost::system::error_code& ec, std::size_t)
+                                     {
+                                         if (!ec)
+                                         {
+                                             respond(peer);
+                                         }
+                                     });
+    }
+
+    void respond(const std::shared_ptr<session>& peer)
+    {
+        if (peer->number <= silent_up_to)
+        {
+            serve(peer);
+            return;
+        }
+        asio::async_write(peer->socket, asio::buffer(peer->answer),
+                          [this, peer](const boost::system::error_code& ec, std::size_t)
+                          {
+                              if (!ec)
+                              {
+                                  serve(peer);
+                              }
+                          });
+    }
+
+    asio::ip::tcp::acceptor acceptor_;
+    int connections_ = 0;
+};
+
+} // namespace
+
+// Guards against copies that grow too old after open connections have gone silent: each call used
+// up its time on another one of them.
+TEST_CASE("a call after one that was lost uses a new connection")
+{
+    asio::io_context context{1};
+    silencing_service service(context);
+    platform::store_client client(context.get_executor(), {"127.0.0.1", service.port()});
+    constexpr int calls = 3;
+    int answered = 0;
+    for (int n = 0; n < calls; ++n)
+    {
+        asio::co_spawn(context, client.list(serving::shared_table::endpoints),
+                       [&](const std::exception_ptr&, const batch_result& batch)
+                       {
+                           answered += batch ? 1 : 0;
+                           if (answered == calls)
+                           {
+                               context.stop();
+                           }
+                       });
+    }
+    context.run_for(list_timeout);
+    REQUIRE(answered == calls);
+    REQUIRE(service.connections() == calls);
+    service.silent_up_to = calls;
+    const std::optional<batch_result> lost =
+        run(context, client.list(serving::shared_table::endpoints));
+    REQUIRE(lost);
+    REQUIRE_FALSE(lost->has_value());
+    const std::optional<batch_result> next =
+        run(context, client.list(serving::shared_table::endpoints));
+    REQUIRE(next);
+    REQUIRE(next->has_value());
+}
