Bound the age of every router's copies, whatever it took part in before

Cause: what a router learned in an outage outlived it. A relay that was behind, silent or cut off was skipped for 3 s alike; a router whose own call had failed did not read the store for 3 s and followed lower-ranked routers. So routers followed each other in a circle and nobody was primary; a read also waited for polls of relays without power. The worst case was no sum. Routers follow upwards in rank only, unless they are cut off; failures are kept for what they mean and forgotten when the store answers; each router reads the store by itself when its copies reach 90% of the bound; relays try it again within 0.5 s after an outage, all others spread over 0.75 of the bound. Conclusion: the bound is a sum of what one router does by itself; relays only save calls.

--- a/cmake/process_tests.cmake
+++ b/cmake/process_tests.cmake
@@ -26,6 +26,12 @@
            COMMAND "${CMAKE_SOURCE_DIR}/tests/stale_take_up.py" "${CMAKE_BINARY_DIR}/endivestage" ${case})
   list(APPEND process_tests stale_take_up_${case})
 endforeach()
+# One test per disturbance of the store and of routers; see the script.
+foreach(case lost_zone two_outages restart primary_cut_off killed_primary)
+  add_test(NAME copy_age_${case}
+           COMMAND "${CMAKE_SOURCE_DIR}/tests/copy_age.py" "${CMAKE_BINARY_DIR}/endivestage" ${case})
+  list(APPEND process_tests copy_age_${case})
+endforeach()
 set_tests_properties(${process_tests} PROPERTIES
   ENVIRONMENT "BUILD=${CMAKE_BINARY_DIR};ENDIVESTAGE_NET=${PROCESS_TEST_NET}"
   RESOURCE_LOCK loopback_fleet RUN_SERIAL TRUE TIMEOUT 300)
--- a/endivestage/serving/replication_polls.cpp
+++ b/endivestage/serving/replication_polls.cpp
@@ -36,6 +36,12 @@
 /// Pause after a call of confirm() that failed.
 constexpr millis confirm_pause{250};
 constexpr millis idle_poll_interval{50};
+/// A read of the tables that takes longer counts as failed.
+constexpr millis read_timeout{1000};
+constexpr int max_reads = 3;
+/// Interval at which a router looks whether it must read the tables.
+constexpr millis read_check_interval{250};
+constexpr millis shortest_read_check{20};
 
 } // namespace
 
@@ -71,14 +77,34 @@
     state.failures = 0;
 }
 
-void replication_service::exclude_self(shared_table table)
+void replication_service::record_cut_off(shared_table table, std::string_view cause)
 {
-    source_choice_.record_failure(self_, time_.now());
-    log_event(log_level::info, "service_reads_paused",
-              {{"table", to_string(table)},
-               {"failures", service_states_.at(table).failures},
-               {"age_ms", age().value_or(millis{-1})},
-               {"paused_ms", source_choice_.failed_relay_delay()}});
+    const bool was_cut_off = source_choice_.is_cut_off();
+    source_choice_.record_failed_read(time_.now());
+    if (!was_cut_off)
+    {
+        log_event(log_level::info, "service_unreachable",
+                  {{"table", to_string(table)},
+                   {"cause", cause},
+                   {"failures", service_states_.at(table).failures},
+                   {"age_ms", age().value_or(millis{-1})}});
+    }
+}
+
+void replication_service::record_reached()
+{
+    const bool reached =
+        std::all_of(aged_tables.begin(), aged_tables.end(),
+                    [this](shared_table table) { return service_states_.at(table).reachable; });
+    if (reached && source_choice_.is_cut_off())
+    {
+        log_event(log_level::info, "service_reachable",
+                  {{"age_ms", age().value_or(millis{-1})}, {"relays", "all_asked_again"}});
+    }
+    if (reached)
+    {
+        source_choice_.record_read();
+    }
 }
 
 awaitable<millis> replication_service::poll_service(shared_table table, millis max_wait)
@@ -105,9 +131,10 @@
     if (!response)
     {
         const std::int64_t failures = service_states_.at(table).failures;
-        if (table == shared_table::operations && failures >= max_service_failures)
+        const bool depended_on = primary_ || !is_complete();
+        if (table != shared_table::routers && depended_on && failures >= max_service_failures)
         {
-            exclude_self(shared_table::operations);
+            record_cut_off(table, "polls_failed");
         }
         const millis delay =
             std::min(max_retry_delay, initial_retry_delay * std::min<std::int64_t>(failures, 8));
@@ -131,6 +158,7 @@
             table,
             std::max(sent, service_clock_.earliest_local(response->timestamp).value_or(sent)));
     }
+    record_reached();
     callbacks_.on_updated();
     const millis stalled = record_progress(table, {position, response->batch.position(), listed,
                                                    time_.now() - sent, max_wait, changed});
@@ -204,25 +232,78 @@
     }
 }
 
+awaitable<void> replication_service::read_tables(std::shared_ptr<table_read> read)
+{
+    ++reads_under_way_;
+    shared_table failed = shared_table::operations;
+    read->pause = co_await poll_service(shared_table::operations, millis{0});
+    read->reached = service_states_.at(shared_table::operations).reachable;
+    if (read->reached)
+    {
+        failed = shared_table::endpoints;
+        const millis pause = co_await poll_service(shared_table::endpoints, millis{0});
+        read->pause = std::max(read->pause, pause);
+        read->reached = service_states_.at(shared_table::endpoints).reachable;
+    }
+    read->done = true;
+    --reads_under_way_;
+    if (!read->reached && !read->overdue)
+    {
+        record_cut_off(failed, "read_failed");
+    }
+    end_waits();
+}
+
+// A response that stops halfway takes longer to be given up than a copy may grow old.
 awaitable<void> replication_service::refresh()
 {
-    const service_state& operations = service_states_.at(shared_table::operations);
-    const service_state& endpoints = service_states_.at(shared_table::endpoints);
-    millis delay = co_await poll_service(shared_table::operations, millis{0});
-    bool reachable = operations.reachable;
-    if (reachable)
+    const time_point started = time_.now();
+    const std::shared_ptr<table_read> read = std::make_shared<table_read>();
+    asio::co_spawn(context_, read_tables(read), asio::detached);
+    while (!read->done && time_.now() - started < read_timeout)
     {
-        const millis after_endpoints = co_await poll_service(shared_table::endpoints, millis{0});
-        delay = std::max(delay, after_endpoints);
-        reachable = endpoints.reachable;
+        co_await wait_for_change(read_timeout - (time_.now() - started));
     }
-    if (!reachable)
+    if (!read->done)
     {
-        exclude_self(operations.reachable ? shared_table::endpoints : shared_table::operations);
+        read->overdue = true;
+        record_cut_off(shared_table::operations, "read_overdue");
+        co_return;
     }
-    if (!reachable || operations.progress.stalls() > 0 || endpoints.progress.stalls() > 0)
+    const bool stalled = std::any_of(aged_tables.begin(), aged_tables.end(),
+                                     [this](shared_table table)
+                                     { return service_states_.at(table).progress.stalls() > 0; });
+    if (stalled)
     {
-        co_await daemon::sleep_for(delay);
+        co_await daemon::sleep_for(read->pause);
+    }
+}
+
+awaitable<void> replication_service::refresh_old_copies()
+{
+    for (;;)
+    {
+        const std::optional<millis> copy_age = age();
+        // Without a copy that is overdue nothing is read, whatever the rank of this router.
+        if (!is_complete() || start_sequence_ ||
+            (copy_age && !source_choice_.is_overdue(*copy_age) && !source_choice_.is_cut_off()))
+        {
+            co_await daemon::sleep_for(read_check_interval);
+            continue;
+        }
+        const millis wait =
+            source_choice_.time_until_read(live_candidates(), copy_age, time_.now());
+        if (wait > millis{0} || reads_under_way_ >= max_reads)
+        {
+            co_await daemon::sleep_for(std::clamp(wait, shortest_read_check, read_check_interval));
+            continue;
+        }
+        log_event(log_level::info, "copies_refreshed",
+                  {{"age_ms", copy_age.value_or(millis{-1})},
+                   {"source",
+                    current_relay_.empty() ? std::string("table_service") : current_relay_.str()},
+                   {"cut_off", source_choice_.is_cut_off()}});
+        co_await refresh();
     }
 }
 
--- a/endivestage/serving/replication_relays.cpp
+++ b/endivestage/serving/replication_relays.cpp
@@ -5,7 +5,6 @@
 #include <endivestage/serving/change_encoding.hpp>
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <utility>
 
@@ -23,15 +22,13 @@
 {
 
 constexpr millis relay_poll_wait{250};
+/// Age that a follower states whose copies are not known to have been current.
+constexpr millis unknown_age{60000};
 constexpr millis relay_timeout{600};
 /// All rows of a table are tens of kilobytes, on links of 10 Mbit/s and more.
 constexpr millis relay_body_timeout{1200};
 constexpr millis relay_unacknowledged_timeout{600};
 constexpr std::size_t max_relay_response_bytes = 16UL * 1024 * 1024;
-/// Tables whose ages a relay states.
-constexpr std::array<shared_table, 2> aged_tables{shared_table::operations,
-                                                  shared_table::endpoints};
-
 std::uint64_t parse_revision(std::string_view text)
 {
     std::uint64_t value = 0;
@@ -191,6 +188,7 @@
 awaitable<std::error_code> replication_service::poll_relay(relay_peer relay)
 {
     relay_answer_age_.reset();
+    relay_answer_source_.clear();
     std::error_code ec = co_await connect_to_relay(relay);
     if (!ec)
     {
@@ -201,16 +199,32 @@
         // A relay that is starting itself has no tables yet and will have them shortly.
         if (is_complete() || ec != errc::peer_unavailable)
         {
-            source_choice_.record_failure(relay.candidate.id, time_.now());
+            relay_failure failure = relay_failure::unreachable;
+            if (ec == errc::stale_view)
+            {
+                failure = relay_failure::behind;
+            }
+            else if (ec == errc::store_unavailable)
+            {
+                failure = relay_failure::cut_off;
+            }
+            const millis skipped = source_choice_.record_failure(relay.candidate.id, failure,
+                                                                 live_candidates(), time_.now());
             log_event(log_level::info, "relay_failed",
                       {{"router", relay.candidate.id},
                        ec,
+                       {"reason", to_string(failure)},
                        {"relay_age_ms", relay_answer_age_.value_or(millis{-1})},
+                       {"relay_source", relay_answer_source_},
                        {"age_ms", age().value_or(millis{-1})},
-                       {"skipped_ms", source_choice_.failed_relay_delay()}});
+                       {"skipped_ms", skipped}});
         }
         relay_connection_.reset();
     }
+    else
+    {
+        source_choice_.record_answer(relay.candidate.id);
+    }
     co_return ec;
 }
 
@@ -228,6 +242,10 @@
             request.target += "&" + era_name(table) + "=" + std::to_string(replica.era());
         }
     }
+    if (is_complete())
+    {
+        request.target += "&age_ms=" + std::to_string(age().value_or(unknown_age).count);
+    }
     bool reported = false;
     request.method = "POST";
     request.target += "&router=" + daemon::encode_component(self_.view());
@@ -350,6 +368,12 @@
         aged_tables.begin(), aged_tables.end(),
         [&](shared_table table)
         { return daemon::get_unsigned(*response, era_name(table)) < replicas_.at(table).era(); });
+    relay_answer_source_ = daemon::get_text(*response, "source");
+    if (daemon::get_flag(*response, "cut_off") &&
+        !source_choice_.may_follow_cut_off(connected_relay_, live_candidates()))
+    {
+        return make_error_code(errc::store_unavailable);
+    }
     if (is_behind || age_ms < 0 || endpoints_age_ms < 0 ||
         source_choice_.is_relay_stale(millis{std::max(age_ms, endpoints_age_ms)}))
     {
@@ -372,9 +396,18 @@
         response.status = 503;
         co_return response;
     }
+    const time_point asked = time_.now();
     const millis max_wait{static_cast<std::int64_t>(
         std::min<std::uint64_t>(parse_revision(target.parameter("wait_ms")), 1000))};
-    const time_point deadline = time_.now() + max_wait;
+    const time_point deadline = asked + max_wait;
+    const std::string_view stated_age = target.parameter("age_ms"); // Empty in earlier releases.
+    std::optional<time_point> follower_current_at;
+    if (!stated_age.empty())
+    {
+        follower_current_at =
+            asked -
+            std::min(millis{static_cast<std::int64_t>(parse_revision(stated_age))}, unknown_age);
+    }
     while (!is_complete())
     {
         // Followers that start at the same time get the tables as soon as they are here.
@@ -410,7 +443,8 @@
             }
         }
         const time_point now = time_.now();
-        if (!changed.empty() || now >= deadline)
+        const bool helps = follower_current_at && helps_follower(now - *follower_current_at);
+        if (!changed.empty() || helps || now >= deadline)
         {
             encode_peer_response(target, changed, now, response);
             co_return response;
@@ -419,6 +453,13 @@
     }
 }
 
+bool replication_service::helps_follower(millis follower_age) const
+{
+    const std::optional<millis> own = age();
+    return own && !source_choice_.is_cut_off() && source_choice_.is_overdue(follower_age) &&
+           !source_choice_.is_overdue(*own);
+}
+
 void replication_service::encode_peer_response(const daemon::http_target& target,
                                                std::span<const shared_table> changed,
                                                time_point now, http_response& response)
@@ -440,6 +481,14 @@
     }
     rest["age_ms"] = age(shared_table::operations).value_or(millis{-1}).count;
     rest["endpoints_age_ms"] = age(shared_table::endpoints).value_or(millis{-1}).count;
+    if (source_choice_.is_cut_off())
+    {
+        rest["cut_off"] = true;
+    }
+    if (source_choice_.is_overdue(age().value_or(unknown_age)))
+    {
+        rest["source"] = current_relay_.str();
+    }
     for (const shared_table table : aged_tables)
     {
         if (replicas_.at(table).era() != 0)
--- a/endivestage/serving/replication_service.cpp
+++ b/endivestage/serving/replication_service.cpp
@@ -23,6 +23,8 @@
 {
 
 constexpr millis idle_poll_interval{50};
+/// Pause before another relay is asked. Relays may refuse at once, one after the other.
+constexpr millis failed_poll_pause{20};
 /// Time for which a router asks relays for the tables at the first start of a fleet, when callers
 /// come only seconds later.
 constexpr millis first_start_period{4000};
@@ -95,6 +97,7 @@
     {
         asio::co_spawn(context_, follow_service(table), asio::detached);
     }
+    asio::co_spawn(context_, refresh_old_copies(), asio::detached);
     asio::co_spawn(context_, exchange_loads(), asio::detached);
 }
 
@@ -128,7 +131,14 @@
 
 void replication_service::renew_freshness(shared_table table, time_point instant)
 {
+    const std::optional<millis> before = age();
     freshness_.at(table).renew(instant);
+    const std::optional<millis> after = age();
+    if (after && !source_choice_.is_overdue(*after) &&
+        (!before || source_choice_.is_overdue(*before)))
+    {
+        end_waits(); // Followers whose copies are overdue as well get this one.
+    }
     if (table == shared_table::operations)
     {
         callbacks_.on_current(instant);
@@ -211,6 +221,7 @@
             {{"source", source.relay.empty() ? std::string("table_service") : source.relay.str()},
              {"relaying", source.is_relay},
              {"primary", primary},
+             {"cut_off", source_choice_.is_cut_off()},
              {"age_ms", age(shared_table::operations).value_or(millis{-1})},
              {"endpoints_age_ms", age(shared_table::endpoints).value_or(millis{-1})}});
     }
@@ -219,6 +230,11 @@
     current_relay_ = source.relay;
 }
 
+std::vector<relay_candidate> replication_service::live_candidates() const
+{
+    return to_candidates(callbacks_.live_routers());
+}
+
 awaitable<void> replication_service::exchange_loads()
 {
     for (;;)
@@ -231,8 +247,7 @@
         const time_point now = time_.now();
         load_aggregator_.apply_router_report(hash64(self_.view()), callbacks_.open_requests(), now);
         const std::vector<engine_requests> follower_loads = load_aggregator_.follower_loads(now);
-        const std::vector<router_id> relays =
-            source_choice_.choose_relays(to_candidates(callbacks_.live_routers()), now);
+        const std::vector<router_id> relays = source_choice_.choose_relays(live_candidates(), now);
         for (const router_id& relay : relays)
         {
             if (relay != self_)
@@ -256,10 +271,7 @@
         std::vector<relay_peer> live = is_complete() && time_.now() >= probes_known_at_
                                            ? callbacks_.live_routers()
                                            : callbacks_.registered_routers();
-        // A starting router has no copy yet, and asks relays before it refreshes one.
-        const std::optional<millis> copy_age = is_complete() ? age() : millis{0};
-        const change_source source =
-            source_choice_.choose(to_candidates(live), copy_age, time_.now());
+        const change_source source = source_choice_.choose(to_candidates(live), time_.now());
         if (!is_complete())
         {
             co_await start_from_relay(source, std::move(live));
@@ -280,22 +292,19 @@
         }
         if (source.type == change_source::kind::refresh)
         {
-            // Without a relay the source stays the table service, also while the copy is fresh.
-            const millis fresh_for = source_choice_.timing().poll_wait -
-                                     copy_age.value_or(source_choice_.timing().poll_wait);
-            if (fresh_for > millis{0})
-            {
-                co_await wait_for_change(fresh_for);
-                continue;
-            }
-            co_await refresh();
+            // The copies are read by refresh_old_copies.
+            co_await daemon::sleep_for(idle_poll_interval);
             continue;
         }
         const auto it = std::find_if(live.begin(), live.end(),
                                      [&](const relay_peer& relay)
                                      { return relay.candidate.id == source.relay; });
         relay_peer chosen = *it;
-        co_await poll_relay(std::move(chosen));
+        const std::error_code ec = co_await poll_relay(std::move(chosen));
+        if (ec)
+        {
+            co_await daemon::sleep_for(failed_poll_pause);
+        }
     }
 }
 
--- a/endivestage/serving/replication_service.hpp
+++ b/endivestage/serving/replication_service.hpp
@@ -160,7 +160,20 @@
     bool polls_service(shared_table table) const;
     millis poll_wait(shared_table table) const;
     daemon::awaitable<millis> poll_service(shared_table table, millis max_wait);
+    /// \brief A read of the tables by a router that does not poll the table service.
+    struct table_read
+    {
+        bool done = false;
+        bool reached = false; ///< The table service answered for both tables.
+        bool overdue = false; ///< Counted as failed before it was done.
+        millis pause{0};      ///< Until the next read.
+    };
+
+    daemon::awaitable<void> read_tables(std::shared_ptr<table_read> read);
     daemon::awaitable<void> refresh();
+    /// \brief Reads the tables whenever the copies get too old, whatever the relays do.
+    daemon::awaitable<void> refresh_old_copies();
+    std::vector<relay_candidate> live_candidates() const;
     daemon::awaitable<void> confirm_once(shared_table table);
     void update_source(const change_source& source);
     daemon::awaitable<void> follow_relays();
@@ -177,8 +190,10 @@
     /// \returns Whether the batch changed the copy.
     bool apply(shared_table table, const change_batch& batch);
     void record_service_result(shared_table table, time_point sent, std::error_code ec);
-    /// \brief Lets this router follow others after calls for \p table have failed.
-    void exclude_self(shared_table table);
+    /// \brief Records that this router does not reach the table service.
+    void record_cut_off(shared_table table, std::string_view cause);
+    /// \brief Records that it does, once calls for all tables succeed.
+    void record_reached();
     /// \returns The pause before the next poll; none if the answer makes progress.
     millis record_progress(shared_table table, const poll_answer& answer);
     void renew_freshness(shared_table table, time_point instant);
@@ -187,6 +202,9 @@
     std::optional<millis> age() const;
     daemon::awaitable<void> wait_for_change(millis max_wait);
     void end_waits();
+    /// \returns Whether a follower that polls gets an answer at once, since its copy is overdue and
+    /// this router's is younger.
+    bool helps_follower(millis follower_age) const;
     /// \brief Records whether the relay knows of an outage, before its rows are applied.
     void record_relay_answer(const boost::json::object& response, time_point sent_at);
     bool is_settling() const;
@@ -231,6 +249,8 @@
     bool primary_ = false;
     router_id current_relay_;                ///< Relay polled last; empty for the table service.
     std::optional<millis> relay_answer_age_; ///< Age that the relay has stated in this poll.
+    std::string relay_answer_source_;        ///< Source that it has stated, if its copy is old.
+    int reads_under_way_ = 0;
     bool reads_routers_again_ = false;
     time_point probes_known_at_; ///< From then on the failure detector tells which routers live.
     std::optional<start_sequence> start_sequence_; ///< Set until this router has its first copies.
--- a/endivestage/serving/table_client.hpp
+++ b/endivestage/serving/table_client.hpp
@@ -25,6 +25,9 @@
 /// \brief All values of shared_table.
 inline constexpr std::array<shared_table, 3> shared_tables{
     shared_table::operations, shared_table::endpoints, shared_table::routers};
+/// Tables whose changes must be in force within a bound; routers state the ages of their copies.
+inline constexpr std::array<shared_table, 2> aged_tables{shared_table::operations,
+                                                         shared_table::endpoints};
 
 /// \returns "operations", "endpoints" or "routers".
 std::string_view to_string(shared_table table);
