Hand requests to another router while this one reaches no endpoint

Cause: each loss was booked on an endpoint, each request began anew with the next ones, and nobody but an endpoint could serve it. Change: a router whose reach is in doubt checks other endpoints; one that is cut off hands its callers' requests to a router in reach (one hop, bounded, with deadline, sends and configuration version; a refusal says that nothing ran), announces it by the gossip of the failure detector, leaves the directory and readiness, and forgets what it learned of endpoints meanwhile. Reports of crashes, failing endpoints, late first events and evidence of roll-outs are kept back while its own link is in doubt. Logs, metrics and pages are new.

--- a/cmake/process_tests.cmake
+++ b/cmake/process_tests.cmake
@@ -32,6 +32,12 @@
            COMMAND "${CMAKE_SOURCE_DIR}/tests/copy_age.py" "${CMAKE_BINARY_DIR}/endivestage" ${case})
   list(APPEND process_tests copy_age_${case})
 endforeach()
+# One test per form in which routers lose their links to the endpoints; see the script.
+foreach(case silent reset live_on nearly_all all flap)
+  add_test(NAME stranded_${case}
+           COMMAND "${CMAKE_SOURCE_DIR}/tests/stranded.py" "${CMAKE_BINARY_DIR}/endivestage" ${case})
+  list(APPEND process_tests stranded_${case})
+endforeach()
 set_tests_properties(${process_tests} PROPERTIES
   ENVIRONMENT "BUILD=${CMAKE_BINARY_DIR};ENDIVESTAGE_NET=${PROCESS_TEST_NET}"
   RESOURCE_LOCK loopback_fleet RUN_SERIAL TRUE TIMEOUT 300)
--- a/endivestage/daemon/http_types.cpp
+++ b/endivestage/daemon/http_types.cpp
@@ -9,21 +9,16 @@
 namespace endivestage::daemon
 {
 
-namespace
-{
-
-bool equal_without_case(std::string_view a, std::string_view b)
+bool equals_ignoring_case(std::string_view a, std::string_view b)
 {
     return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
-} // namespace
-
 std::string_view find_field(const http_fields& fields, std::string_view name)
 {
     for (const std::pair<std::string, std::string>& field : fields)
     {
-        if (equal_without_case(field.first, name))
+        if (equals_ignoring_case(field.first, name))
         {
             return field.second;
         }
--- a/endivestage/daemon/http_types.hpp
+++ b/endivestage/daemon/http_types.hpp
@@ -24,6 +24,9 @@
 /// \brief Header fields in the order in which they were received or will be sent.
 using http_fields = std::vector<std::pair<std::string, std::string>>;
 
+/// \returns Whether two names of fields or tokens are equal without regard to case.
+bool equals_ignoring_case(std::string_view a, std::string_view b);
+
 /// \returns The value of the first field with this name, compared without case; empty when absent.
 std::string_view find_field(const http_fields& fields, std::string_view name);
 
--- a/endivestage/routing/endpoint_directory.cpp
+++ b/endivestage/routing/endpoint_directory.cpp
@@ -135,6 +135,10 @@
         state.failure_rate +=
             latest_outcome_weight * ((is_failure ? 1.0 : 0.0) - state.failure_rate);
     }
+    if (outcome == endpoint_outcome::served || outcome == endpoint_outcome::failed)
+    {
+        state.answered_failure_rate = state.failure_rate;
+    }
     if (outcome == endpoint_outcome::served)
     {
         if (state.consecutive_failures > 1)
@@ -166,6 +170,21 @@
     }
 }
 
+void endpoint_directory::forget_losses(time_point since)
+{
+    for (auto it = endpoints_.begin(); it != endpoints_.end(); ++it)
+    {
+        endpoint_state& state = it->second;
+        if (state.lost_at >= since)
+        {
+            state.consecutive_failures = 0;
+            state.lost_at = time_point{-1000000};
+            state.avoid_until = time_point{};
+            state.failure_rate = state.answered_failure_rate;
+        }
+    }
+}
+
 void endpoint_directory::record_load_report(const endpoint_id& id, double requests, time_point now)
 {
     const auto it = endpoints_.find(id);
--- a/endivestage/routing/endpoint_directory.hpp
+++ b/endivestage/routing/endpoint_directory.hpp
@@ -65,6 +65,7 @@
     time_point avoid_until;                 ///< Until then chosen only if no other is left.
     std::uint32_t consecutive_failures = 0; ///< Unreachable or broken since the last success.
     double failure_rate = 0.0;              ///< Moving average over recent outcomes, 0 to 1.
+    double answered_failure_rate = 0.0;     ///< \ref failure_rate as of the last answer.
     std::uint32_t in_flight = 0;            ///< This router's open requests.
     double reported_load = 0.0; ///< Open requests from all routers, by the endpoint's own report.
     std::uint32_t in_flight_at_report = 0;
@@ -145,6 +146,10 @@
     void end_request(const endpoint_id& id, endpoint_outcome outcome, time_point now,
                      millis cold_period);
 
+    /// \brief Forgets unreachable and broken outcomes that followed the last answer of an endpoint,
+    /// if the last one is not older than \p since: this router's own link was their cause.
+    void forget_losses(time_point since);
+
     /// \brief Records an endpoint's own report of how many requests it has open.
     void record_load_report(const endpoint_id& id, double requests, time_point now);
 
--- a/endivestage/serving/connection_pool.cpp
+++ b/endivestage/serving/connection_pool.cpp
@@ -43,6 +43,24 @@
     idle_[endpoint].push_back({std::move(connection), now, now + idle_timeout - close_margin});
 }
 
+bool connection_pool::has_idle_since(const endpoint_id& endpoint, time_point since) const
+{
+    const auto it = idle_.find(endpoint);
+    return it != idle_.end() && !it->second.empty() && it->second.back().idle_since >= since;
+}
+
+void connection_pool::close_idle_before(time_point since)
+{
+    for (auto it = idle_.begin(); it != idle_.end();)
+    {
+        while (!it->second.empty() && it->second.front().idle_since < since)
+        {
+            it->second.pop_front();
+        }
+        it = it->second.empty() ? idle_.erase(it) : std::next(it);
+    }
+}
+
 void connection_pool::close_all(const endpoint_id& endpoint)
 {
     idle_.erase(endpoint);
--- a/endivestage/serving/connection_pool.hpp
+++ b/endivestage/serving/connection_pool.hpp
@@ -26,6 +26,12 @@
     /// \p max_idle_time; null when there is none.
     connection_ptr acquire(const endpoint_id& endpoint, millis max_idle_time);
 
+    /// \returns Whether there is a connection that has been idle since \p since or later.
+    bool has_idle_since(const endpoint_id& endpoint, time_point since) const;
+
+    /// \brief Closes all connections that have been idle since before \p since.
+    void close_idle_before(time_point since);
+
     /// \brief Returns a connection to the pool for the next request.
     /// \param idle_timeout Idle time after which the endpoint closes the connection.
     void release(const endpoint_id& endpoint, connection_ptr connection, millis idle_timeout);
--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -146,6 +146,12 @@
         co_await send_error(503, errc::shutting_down, execution::not_run, retry_after_stopping);
         co_return;
     }
+    if (state_.reach.cut_off_since() && state_.pool.size() == 0 && needs_handover(nullptr))
+    {
+        watch_caller();
+        co_await hand_over();
+        co_return;
+    }
     if (co_await refuse_quarantined())
     {
         co_return;
@@ -344,7 +350,7 @@
 awaitable<void> exchange::try_endpoints()
 {
     repeat_budget& budget = state_.repeat_budget_for(service_);
-    bool first_send_counted = false;
+    bool first_send_counted = history_.sends > 0;
     for (;;)
     {
         if (caller_left_)
@@ -353,6 +359,15 @@
             co_return;
         }
         const endpoint_state* chosen = choose_endpoint();
+        if (needs_handover(chosen))
+        {
+            const bool ended = co_await hand_over();
+            if (ended)
+            {
+                co_return;
+            }
+            continue;
+        }
         if (chosen == nullptr)
         {
             co_await finish_after_failure(next_step::refuse, endpoint_outcome::shed);
@@ -381,6 +396,7 @@
             co_return;
         }
         state_.endpoints.end_request(endpoint.id, outcome, state_.time.now(), cold_period);
+        last_unreachable_ = outcome == endpoint_outcome::unreachable;
         state_.metrics.record_attempt(outcome);
         if (outcome == endpoint_outcome::served)
         {
--- a/endivestage/serving/exchange.hpp
+++ b/endivestage/serving/exchange.hpp
@@ -5,6 +5,7 @@
 #include <endivestage/daemon/http_connection.hpp>
 #include <endivestage/daemon/http_server.hpp>
 #include <endivestage/serving/event_framer.hpp>
+#include <endivestage/serving/handover_header.hpp>
 #include <endivestage/serving/router_state.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -27,9 +28,17 @@
     exchange(boost::asio::any_io_executor executor, router_state& state, http_request request,
              caller_request decoded, daemon::response_writer& caller);
 
+    /// \brief Makes this the exchange of a request that another router has handed over. To be
+    /// called before \ref run. \param writer The caller of the constructor.
+    void take_over(const handover_info& info, handover_writer& writer);
+
     /// \brief Runs the exchange until the response was sent or the caller has disconnected.
     daemon::awaitable<void> run();
 
+    /// \brief Gives up an attempt on a connection that has been silent since \p since or before, if
+    /// the request may go on elsewhere.
+    void leave_silent_connection(time_point since);
+
     /// \brief Ends the exchange with a failure, or a refusal if no endpoint has received the
     /// request. Has no effect once the response has begun.
     void stop();
@@ -67,6 +76,26 @@
     millis refusal_delay(millis fallback);
     void cancel_wait();
     daemon::awaitable<void> try_endpoints();
+    /// \brief How another router ended the request.
+    enum class handover_result
+    {
+        answered, ///< Its response was delivered.
+        refused,  ///< It has not taken the request.
+        unreached,
+        lost, ///< It may have sent the request to an endpoint.
+    };
+
+    /// \returns Whether the request should go to another router instead of this endpoint.
+    /// \param chosen Null if no endpoint may get the request.
+    bool needs_handover(const endpoint_state* chosen) const;
+    /// \brief Ends the exchange with the response of another router, or with a failure.
+    /// \returns False if no router takes the request and this one may reach an endpoint.
+    daemon::awaitable<bool> hand_over();
+    daemon::awaitable<handover_result> hand_over_to(handover_target target);
+    daemon::awaitable<bool> connect_to_router(handover_target target);
+    daemon::awaitable<handover_result> read_handover_response(router_id router);
+    daemon::awaitable<handover_result> forward_handover_response(received_response response);
+    daemon::awaitable<void> finish_without_router(bool may_have_run);
     const endpoint_state* choose_endpoint();
     const endpoint_state* choose_among(std::span<const endpoint_state* const> endpoints);
     version_choice choose_versions(std::span<const endpoint_state* const> usable) const;
@@ -146,6 +175,12 @@
     bool watches_caller_ = false;
     std::function<void()> leave_start_gate_; ///< Set while the request waits for the tables.
     bool stopping_ = false;
+    /// Set if another router has handed the request over, so that it goes no further.
+    handover_writer* taken_from_ = nullptr;
+    bool via_router_ = false;            ///< The present response comes from another router.
+    bool handover_refused_ = false;      ///< No other router takes the request.
+    bool last_unreachable_ = false;      ///< The last attempt could not connect.
+    std::optional<time_point> heard_at_; ///< When the present attempt last received bytes.
     attempt_history history_;
     attempt_conditions sent_conditions_; ///< Of the present attempt.
     time_point sent_at_;                 ///< When the present attempt was sent.
--- a/endivestage/serving/exchange_attempt.cpp
+++ b/endivestage/serving/exchange_attempt.cpp
@@ -1,6 +1,7 @@
 #include <endivestage/serving/exchange.hpp>
 
 #include <endivestage/daemon/logging.hpp>
+#include <endivestage/serving/endpoint_check.hpp>
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -43,13 +44,50 @@
     return text;
 }
 
+/// Other endpoints that are asked before an engine counts as crashed.
+constexpr std::size_t max_other_endpoints = 3;
+
+// A router that is cut off is refused by engines that are well.
+awaitable<bool> reaches_another(boost::asio::any_io_executor executor, router_state& state,
+                                endpoint_record engine)
+{
+    const time_point began = state.time.now();
+    std::vector<endpoint_record> others;
+    for (const endpoint_state* other : state.endpoints.available(engine.service, began))
+    {
+        if (other->record.id != engine.id && other->consecutive_failures == 0)
+        {
+            others.push_back(other->record);
+        }
+    }
+    if (others.empty())
+    {
+        co_return true; // Nothing to compare with.
+    }
+    for (std::size_t n = 0; n < max_other_endpoints && !others.empty(); ++n)
+    {
+        const std::size_t chosen = state.random.below(others.size());
+        const endpoint_record other = others[chosen];
+        others.erase(others.begin() + static_cast<std::ptrdiff_t>(chosen));
+        checked_connection checked = co_await open_checked(executor, state, other);
+        if (checked.connection)
+        {
+            keep_checked(state, other, std::move(checked.connection));
+            co_return true;
+        }
+        state.record_connection(other.id, checked.reset ? connection_result::reset
+                                                        : connection_result::failed);
+    }
+    co_return false;
+}
+
 // A connection can end although its engine is well, so an engine counts as crashed only if its host
 // refuses a new connection. No answer may as well be the network's fault.
 awaitable<void> report_crash(boost::asio::any_io_executor executor, router_state& state,
                              endpoint_record engine, std::vector<prompt_part> parts)
 {
     const time_point broken_at = state.time.now();
-    daemon::http_connection probe(std::move(executor));
+    daemon::http_connection probe(executor);
     daemon::network_address address{engine.host, engine.port};
     const std::error_code ec =
         co_await probe.connect(std::move(address), connect_timeout, unacknowledged_timeout);
@@ -57,6 +95,13 @@
     {
         co_return;
     }
+    state.record_connection(engine.id, connection_result::failed);
+    const bool reaches_others = co_await reaches_another(executor, state, engine);
+    if (!reaches_others)
+    {
+        log_event(log_level::info, "crash_unconfirmed", {{"endpoint", engine.id}});
+        co_return;
+    }
     const std::uint64_t crash =
         hash64(engine.id.view(), static_cast<std::uint64_t>(engine.started_at));
     const time_point now = state.time.now();
@@ -74,8 +119,14 @@
 {
     const bool executed_once =
         route_->semantics == execution_semantics::at_most_once && !route_->streaming;
-    connection_ = state_.pool.acquire(endpoint.id,
-                                      executed_once ? max_idle_time_at_most_once : max_idle_time);
+    const bool doubted = state_.reach.state(state_.time.now()) == reach_state::doubted;
+    // An idle connection may be as silent as the link that is in doubt. A new one that fails is no
+    // send.
+    if (!executed_once || !doubted)
+    {
+        connection_ = state_.pool.acquire(endpoint.id, executed_once ? max_idle_time_at_most_once
+                                                                     : max_idle_time);
+    }
     connection_reused_ = connection_ != nullptr;
     if (connection_reused_)
     {
@@ -89,6 +140,12 @@
     const std::error_code ec =
         co_await connection_->connect(std::move(address), timeout, unacknowledged_timeout);
     state_.metrics.record_connection(!ec);
+    // An accepted connection counts once it has carried a response: something on the way may accept
+    // it and reset it then.
+    if (ec && !caller_left_ && !stopping_)
+    {
+        state_.record_connection(endpoint.id, connection_result::failed);
+    }
     co_return !ec;
 }
 
@@ -122,6 +179,7 @@
     info.last_event_id = framer_.last_event_id() ? framer_.last_event_id() : decoded_.last_event_id;
     info.copy_from = find_copy_source(endpoint.id);
     sent_at_ = state_.time.now();
+    heard_at_ = sent_at_;
     first_event_seen_ = false;
     const millis max_wait = first_event_wait(time);
     log_placement(info, max_wait);
@@ -132,8 +190,20 @@
     attempt_version_ = version_key(endpoint);
     connection_->send(state_.codec.encode_request(request_, info), body_);
     const endpoint_outcome outcome = co_await read_response(endpoint, max_wait);
+    heard_at_.reset();
     if (outcome == endpoint_outcome::broken)
     {
+        if (!first_event_seen_ && !caller_left_ && !stopping_)
+        {
+            if (!connection_reused_ && !measured_.waited_out)
+            {
+                state_.record_connection(endpoint.id, connection_result::reset);
+            }
+            else
+            {
+                state_.record_lost_response(endpoint.id);
+            }
+        }
         record_missing_first_event(max_wait);
     }
     if (outcome != endpoint_outcome::shed && outcome != endpoint_outcome::misdirected)
@@ -289,7 +359,8 @@
 void exchange::record_missing_first_event(millis waited)
 {
     const time_point now = state_.time.now();
-    if (!first_event_seen_ && !caller_left_ && !stopping_ && now - sent_at_ >= waited)
+    const bool reached = state_.reach.state(now) == reach_state::reached;
+    if (reached && !first_event_seen_ && !caller_left_ && !stopping_ && now - sent_at_ >= waited)
     {
         state_.first_events.record_timeout(sent_conditions_.model, hash64(last_endpoint_.view()),
                                            waited, now);
@@ -391,6 +462,11 @@
         measured_.waited_out = state_.time.now() >= first_event_deadline;
         co_return endpoint_outcome::broken;
     }
+    state_.reach.record_response(state_.time.now());
+    if (!connection_reused_)
+    {
+        state_.record_connection(endpoint.id, connection_result::works);
+    }
     record_endpoint_state(endpoint, response->info);
     if (!response->info.success || !response->info.is_event_stream)
     {
--- a/endivestage/serving/exchange_response.cpp
+++ b/endivestage/serving/exchange_response.cpp
@@ -145,6 +145,7 @@
             measured_.waited_out = state_.time.now() >= wait_until;
             co_return endpoint_outcome::broken;
         }
+        heard_at_ = state_.time.now();
         const bool end = chunk->empty();
         if (end && framer_.ends_inside_event())
         {
@@ -153,11 +154,13 @@
         std::string events = end ? framer_.take_remainder() : framer_.add(*chunk);
         if (!events.empty())
         {
-            if (first && !record_stream_version())
+            // The router that took the request records all this.
+            const bool own_attempt = !via_router_;
+            if (first && own_attempt && !record_stream_version())
             {
                 co_return endpoint_outcome::broken;
             }
-            if (first)
+            if (first && own_attempt)
             {
                 measured_.first_event =
                     state_.time.now() - measured_.sent_at.value_or(time_point{});
@@ -166,7 +169,7 @@
                 record_prefixes(last_endpoint_);
                 record_first_event_time();
             }
-            else
+            else if (own_attempt)
             {
                 // The first event may have been sent by an engine that crashes on the prompt.
                 beyond_first_event_ = true;
@@ -196,8 +199,11 @@
             {
                 co_return endpoint_outcome::broken;
             }
-            record_completion_time();
-            record_served_prompt();
+            if (!via_router_)
+            {
+                record_completion_time();
+                record_served_prompt();
+            }
             record_end("served", response_.head.status);
             co_await caller_.end();
             co_return endpoint_outcome::served;
--- a/endivestage/serving/exchange_versions.cpp
+++ b/endivestage/serving/exchange_versions.cpp
@@ -233,6 +233,11 @@
     }
     const millis waited = state_.time.now() - *measured_.sent_at;
     measured_.sent_at.reset();
+    if (state_.reach.state(state_.time.now()) != reach_state::reached)
+    {
+        // A lost response may be this router's own fault.
+        return;
+    }
     evidence_key key;
     key.is_new = endpoint.version == rule->to;
     key.route = hash64(route_->name);
--- a/endivestage/serving/peer_service.cpp
+++ b/endivestage/serving/peer_service.cpp
@@ -255,6 +255,11 @@
                 change_callback_();
             }
         }
+        else if (const announcement_received* received =
+                     std::get_if<announcement_received>(&action))
+        {
+            apply_announcement(received->item);
+        }
     }
 }
 
--- a/endivestage/serving/peer_service.hpp
+++ b/endivestage/serving/peer_service.hpp
@@ -4,6 +4,7 @@
 
 #include <endivestage/core.hpp>
 #include <endivestage/membership.hpp>
+#include <endivestage/reachability.hpp>
 #include <endivestage/routing.hpp>
 #include <endivestage/serving/replication_service.hpp>
 #include <endivestage/serving/sum_datagram.hpp>
@@ -96,6 +97,13 @@
         rollout_counts_callback_ = std::move(callback);
     }
 
+    /// \brief Tells the other routers whether this one is cut off from the endpoints; to be
+    /// repeated while it is.
+    void announce_reach(bool cut_off);
+
+    /// \returns Whether another router says that it is cut off from the endpoints.
+    bool is_cut_off(const router_id& router) const;
+
     /// \brief Sends a datagram that begins with \ref origin_tag.
     void send_origins(const daemon::network_address& router, std::string_view datagram);
 
@@ -131,6 +139,7 @@
     void send_datagram(const std::string& host, std::uint16_t port, std::string_view datagram);
     void execute(const membership_actions& actions);
     void refresh_candidates();
+    void apply_announcement(const announcement& item);
 
     boost::asio::io_context& context_;
     const clock& time_;
@@ -142,6 +151,8 @@
     std::array<char, 16384> buf_{};
     boost::asio::steady_timer timer_;
     std::map<router_id, known_router> routers_;
+    fleet_reach fleet_reach_;
+    std::uint64_t reach_statements_ = 0; ///< Made by this run.
     std::function<void()> change_callback_;
     std::function<void(const prefix_sighting&)> sighting_callback_;
     std::function<void(const group_sums&)> sums_callback_;
--- a/endivestage/serving/peer_service_rows.cpp
+++ b/endivestage/serving/peer_service_rows.cpp
@@ -1,4 +1,5 @@
 #include <endivestage/daemon/json_access.hpp>
+#include <endivestage/daemon/logging.hpp>
 #include <endivestage/serving/peer_service.hpp>
 
 #include <boost/endian/conversion.hpp>
@@ -7,6 +8,8 @@
 {
 
 namespace json = boost::json;
+using daemon::log_event;
+using daemon::log_level;
 
 namespace
 {
@@ -14,6 +17,8 @@
 /// First byte of a datagram with counts of a roll-out. The hash of the sender's id follows.
 constexpr char rollout_counts_tag = 'R';
 constexpr std::size_t rollout_header_bytes = 9;
+/// Prefix of the key of announcements whether a router is cut off; its id follows.
+constexpr std::string_view reach_key = "reach/";
 
 } // namespace
 
@@ -45,6 +50,47 @@
     return true;
 }
 
+void peer_service::announce_reach(bool cut_off)
+{
+    const member& self = detector_.self();
+    announcement item;
+    item.key = std::string(reach_key) + self.id.str();
+    item.value = encode_reach({self.incarnation, cut_off});
+    // Incarnations are start times in ms, so the next run's versions are higher.
+    item.version = self.incarnation + ++reach_statements_;
+    detector_.announce(std::move(item));
+}
+
+bool peer_service::is_cut_off(const router_id& router) const
+{
+    if (!fleet_reach_.has_statement(router))
+    {
+        return false;
+    }
+    const std::optional<member_update> view = detector_.find(router);
+    return view && fleet_reach_.is_cut_off(router, view->who.incarnation, time_.now());
+}
+
+void peer_service::apply_announcement(const announcement& item)
+{
+    if (!item.key.starts_with(reach_key))
+    {
+        return;
+    }
+    const std::optional<reach_statement> statement = decode_reach(item.value);
+    if (!statement)
+    {
+        log_event(log_level::warning, "reach_unreadable", {{"key", item.key}});
+        return;
+    }
+    const router_id router(item.key.substr(reach_key.size()));
+    if (router != detector_.self().id && fleet_reach_.record(router, *statement, time_.now()))
+    {
+        log_event(log_level::info, "router_reach",
+                  {{"router", router}, {"cut_off", statement->cut_off}});
+    }
+}
+
 std::uint64_t peer_service::parse_incarnation(const replicated_row& row)
 {
     const result<json::object> fields = daemon::parse_json_object(row.data);
--- a/endivestage/serving/router_metrics.cpp
+++ b/endivestage/serving/router_metrics.cpp
@@ -110,6 +110,15 @@
         .add();
 }
 
+void router_metrics::record_handover(std::string_view result)
+{
+    registry_
+        .get_counter("endivestage_handovers_total",
+                     "Requests offered to other routers by what came of it.",
+                     {{"result", std::string(result)}})
+        .add();
+}
+
 void router_metrics::record_rollout_response(bool new_version, bool failed)
 {
     registry_
@@ -206,6 +215,14 @@
     set_gauge("endivestage_endpoints_copy_age_seconds",
               "Age of the copy of the endpoints' table; negative before the first one.",
               to_seconds(values.endpoints_copy_age));
+    set_gauge("endivestage_taken_requests", "Requests being served for other routers.",
+              static_cast<double>(values.taken_requests));
+    set_gauge("endivestage_cut_off", "1 while this router reaches no endpoint.",
+              values.cut_off ? 1.0 : 0.0);
+    registry_
+        .get_counter("endivestage_cuts_total",
+                     "Times that this router was cut off from all endpoints.")
+        .raise_to(values.cuts);
     set_gauge("endivestage_relaying", "1 while this router serves table changes to others.",
               values.relaying ? 1.0 : 0.0);
     set_gauge("endivestage_primary", "1 while this router polls the table service for the fleet.",
--- a/endivestage/serving/router_metrics.hpp
+++ b/endivestage/serving/router_metrics.hpp
@@ -35,6 +35,9 @@
     std::uint64_t evicted_requests = 0; ///< Since start.
     millis copy_age{-1};           ///< Age of the operator's table; negative before the first copy.
     millis endpoints_copy_age{-1}; ///< Age of the endpoints' table; negative before the first copy.
+    std::size_t taken_requests = 0; ///< Requests that are served for other routers.
+    std::size_t cuts = 0;           ///< Times that this router was cut off from all endpoints.
+    bool cut_off = false;           ///< It is now.
     bool relaying = false;
     bool primary = false;
     bool ready = false;
@@ -67,6 +70,9 @@
     /// \param wait Time for which a request waited for room at its service.
     void record_room_wait(millis wait);
     void record_connection(bool success);
+    /// \brief Counts a request that was offered to another router.
+    /// \param result "answered", "refused", "unreached" or "lost".
+    void record_handover(std::string_view result);
     /// \brief Counts a response during a roll-out.
     void record_rollout_response(bool new_version, bool failed);
     void record_rollout_write(bool success);
--- a/endivestage/serving/router_state.hpp
+++ b/endivestage/serving/router_state.hpp
@@ -4,6 +4,7 @@
 
 #include <endivestage/continuation.hpp>
 #include <endivestage/core.hpp>
+#include <endivestage/reachability.hpp>
 #include <endivestage/rollout.hpp>
 #include <endivestage/routing.hpp>
 #include <endivestage/serving/connection_pool.hpp>
@@ -59,6 +60,21 @@
     time_point queued_at; ///< The report's age is as of this instant.
 };
 
+/// \brief What became of a new connection to an endpoint.
+enum class connection_result
+{
+    works,
+    failed, ///< It could not be established.
+    reset,  ///< It was accepted, and lost before its first response.
+};
+
+/// \brief Another router that takes requests of this one.
+struct handover_target
+{
+    handover_candidate candidate;
+    daemon::network_address address;
+};
+
 /// \brief State shared by the coroutines of one router.
 ///
 /// All of them run on one thread, since a host gives a router only a part of one core; so no lock
@@ -77,7 +93,8 @@
           pool(t),
           quarantine(hash64(self.view())),
           notices(hash64(self.view())),
-          times(endpoints, prefixes)
+          times(endpoints, prefixes),
+          router_connections(t)
     {
     }
 
@@ -95,6 +112,8 @@
     /// process itself, its tables and other routers.
     static constexpr std::size_t request_memory_parts = 3;
     static constexpr std::size_t request_memory_divisor = 8;
+    /// Memory that is set aside for a request that this router serves for another one.
+    static constexpr std::size_t taken_request_bytes = 1024UL * 1024;
     /// A stale copy is refreshed this long before it can no longer be used.
     static constexpr millis lease_reserve{600};
 
@@ -142,6 +161,24 @@
     /// request that may take longer is refused, since other routers can complete it.
     std::optional<time_point> completion_limit;
 
+    endpoint_reach reach;                 ///< Whether this router reaches the endpoints.
+    handover_choice handovers{zone_id()}; ///< Requests that others serve for this router.
+    connection_pool router_connections;   ///< Idle connections to other routers, by their ids.
+    /// Limit of \ref taken_requests, from the host's memory.
+    std::size_t max_taken_requests = default_host_memory / taken_request_bytes;
+    std::size_t taken_requests = 0; ///< Open requests that this router serves for others.
+    /// Returns the live routers that do not say that they are cut off; empty until the other
+    /// routers are known.
+    std::function<std::vector<handover_target>()> handover_targets;
+    /// Called when \ref reach is in doubt, to check other endpoints.
+    std::function<void()> on_doubt;
+
+    /// \brief Records what became of a new connection to an endpoint.
+    void record_connection(const endpoint_id& endpoint, connection_result outcome);
+
+    /// \brief Records that an endpoint did not respond on an open connection.
+    void record_lost_response(const endpoint_id& endpoint);
+
     /// \returns Whether requests are accepted and the operator's table is recent enough.
     bool is_ready() const
     {
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -33,6 +33,9 @@
 /// Routers that have started, or missed a datagram, learn of a quarantine within about this time.
 constexpr millis reminder_interval{1000};
 constexpr millis join_retry_delay{300};
+/// Requests that may go on elsewhere leave a connection that was silent for this long when the
+/// router is cut off. The pauses of a sound engine are shorter.
+constexpr millis silent_period{500};
 /// A slow table service answers within this time. A caller whose stream cannot go on comes back.
 constexpr millis confirm_wait{250};
 /// Time after which the address responses of other routers omit a stopping router.
@@ -48,6 +51,7 @@
 /// not read yet has up to this much in the kernel.
 constexpr std::size_t connection_bytes = 65536;
 constexpr std::size_t min_connections = 16;
+constexpr std::size_t added_header_bytes = 1024;
 
 std::size_t max_connections(const server_settings& settings)
 {
@@ -88,6 +92,16 @@
     return converted;
 }
 
+/// Other routers hand over whatever their callers may send, with some fields of their own.
+http_limits to_peer_limits(const caller_limits& limits)
+{
+    http_limits converted;
+    converted.header_bytes =
+        std::max(converted.header_bytes, limits.max_header_bytes + added_header_bytes);
+    converted.body_bytes = std::max(converted.body_bytes, limits.max_body_bytes);
+    return converted;
+}
+
 stop_config to_stop_config(const server_bounds& bounds)
 {
     stop_config converted;
@@ -132,7 +146,7 @@
                         [this](http_request request, response_writer& writer) -> awaitable<void>
                         {
                             http_response response = platform_.discovery->handle_readiness_request(
-                                request, state_.is_ready() && !stopping_);
+                                request, accepts_callers());
                             co_await writer.send(std::move(response));
                         }),
       directory_server_(context, {},
@@ -146,6 +160,11 @@
       peer_server_(context, {},
                    [this](http_request request, response_writer& writer) -> awaitable<void>
                    {
+                       if (is_handed_over(request))
+                       {
+                           co_await request_service_.serve_taken(std::move(request), writer);
+                           co_return;
+                       }
                        http_response response;
                        response.status = 503;
                        if (request.target == rollouts_path)
@@ -177,6 +196,8 @@
 {
     state_.routers = {settings_.name};
     state_.zone = settings_.zone;
+    state_.handovers = handover_choice(settings_.zone);
+    state_.max_taken_requests = settings_.memory / router_state::taken_request_bytes;
     state_.response_memory =
         buffer_budget(settings_.memory / router_state::response_memory_divisor);
     state_.start = start_gate(time_, to_hold_limits(settings_.memory));
@@ -261,6 +282,9 @@
     origin_service_ =
         std::make_unique<origin_service>(context_, time_, state_.origins, *peer_service_);
     state_.origin_exchange = origin_service_.get();
+    reach_service_ = std::make_unique<reach_service>(context_, state_, *peer_service_);
+    reach_service_->on_cut_off(
+        [this] { request_service_.leave_silent_connections(time_.now() - silent_period); });
     source_choice_config choice_config;
     choice_config.timing = replication_timing::for_change_delay(state_.max_change_delay());
     source_choice choice(choice_config, settings_.name, settings_.zone);
@@ -303,7 +327,10 @@
     };
     callbacks.failing_endpoints = [this]
     {
-        return state_.endpoints.failing_endpoints(time_.now());
+        // While this router's own link is in doubt, its losses say nothing about endpoints.
+        const bool reached = state_.reach.state(time_.now()) == reach_state::reached;
+        return reached ? state_.endpoints.failing_endpoints(time_.now())
+                       : std::vector<engine_requests>();
     };
     callbacks.on_fleet_failures = [this](const load_changes& changes)
     {
@@ -392,6 +419,7 @@
               {{"version", routes.version()}, {"routes", routes.routes().size()}});
     state_.routes = std::make_shared<const route_table>(std::move(routes));
     caller_server_.set_limits(to_http_limits(state_.routes->limits(), settings_));
+    peer_server_.set_limits(to_peer_limits(state_.routes->limits()));
     configure_streams();
 }
 
--- a/endivestage/serving/server.hpp
+++ b/endivestage/serving/server.hpp
@@ -6,6 +6,7 @@
 #include <endivestage/daemon/http_server.hpp>
 #include <endivestage/daemon/process_clock.hpp>
 #include <endivestage/serving/peer_service.hpp>
+#include <endivestage/serving/reach_service.hpp>
 #include <endivestage/serving/replication_service.hpp>
 #include <endivestage/serving/request_service.hpp>
 #include <endivestage/serving/rollout_service.hpp>
@@ -139,6 +140,8 @@
     void update_metrics();
     void update_lifecycle();
     address_answer addresses(zone_id zone, region_id region);
+    /// \returns Whether callers should use this router.
+    bool accepts_callers() const;
 
     boost::asio::io_context& context_;
     daemon::process_clock time_;
@@ -153,6 +156,7 @@
     daemon::http_server metrics_server_;
     std::unique_ptr<peer_service> peer_service_;
     std::unique_ptr<origin_service> origin_service_;
+    std::unique_ptr<reach_service> reach_service_;
     std::unique_ptr<replication_service> replication_;
     rollout_service rollout_service_;
     std::map<shared_table, era_transition> eras_;
--- a/endivestage/serving/server_maintenance.cpp
+++ b/endivestage/serving/server_maintenance.cpp
@@ -3,6 +3,7 @@
 #include <endivestage/daemon/logging.hpp>
 #include <endivestage/daemon/sleep.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace endivestage::serving
@@ -38,7 +39,10 @@
     gauges.evicted_requests = state_.request_bytes->evictions();
     gauges.caller_connections = caller_server_.open_connections();
     gauges.config_version = state_.routes ? state_.routes->version() : 0;
-    gauges.ready = state_.is_ready();
+    gauges.ready = accepts_callers();
+    gauges.taken_requests = state_.taken_requests;
+    gauges.cuts = state_.reach.cuts();
+    gauges.cut_off = state_.reach.cut_off_since().has_value();
     record_start_gate(state_.start, state_.metrics);
     if (replication_)
     {
@@ -54,10 +58,18 @@
     update_rollout_metrics();
 }
 
+bool server::accepts_callers() const
+{
+    const bool isolated = reach_service_ && reach_service_->is_isolated();
+    return state_.is_ready() && !stopping_ && !isolated;
+}
+
 address_answer server::addresses(zone_id zone, region_id region)
 {
     std::vector<router_status> routers;
-    if (state_.is_ready() && !stopping_)
+    const bool isolated = reach_service_ && reach_service_->is_isolated();
+    const bool accepts = accepts_callers();
+    if (accepts)
     {
         router_status self;
         self.id = settings_.name;
@@ -70,8 +82,17 @@
     }
     const std::vector<relay_peer> live =
         peer_service_ ? peer_service_->live_peers() : std::vector<relay_peer>{};
+    // If all routers are cut off, they are all listed: the endpoints may be down.
+    const bool any_reaches = accepts || isolated ||
+                             std::any_of(live.begin(), live.end(),
+                                         [this](const relay_peer& peer)
+                                         { return !peer_service_->is_cut_off(peer.candidate.id); });
     for (const relay_peer& peer : live)
     {
+        if (any_reaches && peer_service_->is_cut_off(peer.candidate.id))
+        {
+            continue;
+        }
         router_status other;
         other.id = peer.candidate.id;
         other.host = peer.address.host;
@@ -107,6 +128,7 @@
         co_await daemon::sleep_for(maintenance_interval);
         record_loop_delay(time_.now() - due);
         state_.pool.expire();
+        state_.router_connections.expire();
         maintain_versions();
         apply_deferred_rows();
         daemon::flush_log();
--- a/endivestage/serving/server_stop.cpp
+++ b/endivestage/serving/server_stop.cpp
@@ -54,7 +54,7 @@
     {
         stop_progress progress;
         // A connection without a request yet counts too: its request may be on the way.
-        progress.open_requests = caller_server_.open_connections();
+        progress.open_requests = caller_server_.open_connections() + state_.taken_requests;
         progress.in_view = false;
         bool done = false;
         for (const stop_action action : planned_stop_.tick(progress, time_.now()))
--- a/endivestage/serving/wire_codec.hpp
+++ b/endivestage/serving/wire_codec.hpp
@@ -91,6 +91,10 @@
     virtual http_request encode_request(const http_request& request,
                                         const forwarding_info& info) const = 0;
 
+    /// \returns A caller's request as it is handed to another router, which handles it like one of
+    /// its own callers: with the caller's credentials, and without hop-by-hop fields.
+    virtual http_request encode_handover(const http_request& request, millis time_left) const = 0;
+
     /// \param id Id of the request that the response is expected to answer.
     virtual response_info decode_response(const http_response& head,
                                           const request_id& id) const = 0;
