Test what endpoints are remembered for after a cut

Cause: endpoint_directory::forget_losses had no test. Change: losses during a cut leave no avoidance, no cold state and the failure rate of the last answer; losses from before the cut are kept. Conclusion: an endpoint is neither avoided nor cold because the router's own link was lost, as far as it did not answer in between.

--- a/tests/endpoint_directory_test.cpp
+++ b/tests/endpoint_directory_test.cpp
@@ -137,3 +137,56 @@
     REQUIRE(directory.estimated_load(*directory.find(id), {2000}) == Approx(5.0));
     REQUIRE(directory.estimated_load(*directory.find(id), {9000}) == Approx(2.0));
 }
+
+// Guards against endpoints that are avoided, or get a reduced share as cold ones, because the
+// router's own link was lost.
+TEST_CASE("losses during a cut leave no avoidance, no cold state and the failure rate of before")
+{
+    endpoint_directory directory;
+    directory.update(make_record("e1"), {0});
+    const endpoint_id id("e1");
+    directory.end_request(id, endpoint_outcome::failed, {900}, cold_period);
+    directory.end_request(id, endpoint_outcome::served, {1000}, cold_period);
+    const double failure_rate = directory.find(id)->failure_rate;
+    REQUIRE(failure_rate > 0.0);
+    for (const std::int64_t at : {2000, 2100, 2200, 2300})
+    {
+        const endpoint_outcome outcome =
+            at == 2300 ? endpoint_outcome::broken : endpoint_outcome::unreachable;
+        directory.end_request(id, outcome, {at}, cold_period);
+    }
+    REQUIRE(directory.find(id)->avoid_until > time_point{2300});
+    REQUIRE(directory.find(id)->failure_rate > failure_rate);
+    directory.forget_losses({1900});
+    REQUIRE(directory.find(id)->consecutive_failures == 0);
+    REQUIRE(directory.find(id)->avoid_until <= time_point{2300});
+    REQUIRE(directory.find(id)->failure_rate == Approx(failure_rate));
+    REQUIRE(directory.failing_endpoints({2301}).empty());
+    directory.end_request(id, endpoint_outcome::served, {2400}, cold_period);
+    REQUIRE_FALSE(directory.find(id)->is_cold({2401}));
+}
+
+// Guards against endpoints that were down before a cut and count as sound after it.
+TEST_CASE("losses before a cut are kept")
+{
+    endpoint_directory directory;
+    directory.update(make_record("e1"), {0});
+    directory.update(make_record("e2"), {0});
+    const endpoint_id down("e1");
+    const endpoint_id answering("e2");
+    for (const std::int64_t at : {1000, 1100, 1200})
+    {
+        directory.end_request(down, endpoint_outcome::unreachable, {at}, cold_period);
+        directory.end_request(answering, endpoint_outcome::failed, {at}, cold_period);
+    }
+    const endpoint_state before = *directory.find(down);
+    const double failure_rate = directory.find(answering)->failure_rate;
+    directory.end_request(answering, endpoint_outcome::unreachable, {2000}, cold_period);
+    directory.forget_losses({1900});
+    REQUIRE(directory.find(down)->consecutive_failures == before.consecutive_failures);
+    REQUIRE(directory.find(down)->avoid_until == before.avoid_until);
+    REQUIRE(directory.find(down)->failure_rate == Approx(before.failure_rate));
+    REQUIRE(directory.find(answering)->failure_rate == Approx(failure_rate));
+    directory.end_request(down, endpoint_outcome::served, {2400}, cold_period);
+    REQUIRE(directory.find(down)->is_cold({2401}));
+}
