Forget that endpoints count as cold because of a cut

What callers saw: after a cut that refused new connections while old ones lived on, a router sent fewer requests to sound endpoints for a cold period, and others waited or were refused. Cause: an endpoint that answers after two losses in a row counts as cold. The answer came on an old connection while the cut went on, so forget_losses, which looks at losses without an answer since, left the cold state as it was. Change: the cold state that is presumed from losses is kept apart from the stated one, with the last loss behind it; forget_losses ends it if that loss is part of the cut. Conclusion: what an endpoint or its record says of itself stays in force; what the router presumed from its own lost link does not.

--- a/endivestage/routing/endpoint_directory.cpp
+++ b/endivestage/routing/endpoint_directory.cpp
@@ -145,7 +145,8 @@
         {
             // The endpoint was unreachable and may have restarted with an empty cache, even if its
             // record does not show it yet.
-            state.cold_until = std::max(state.cold_until, now + cold_period);
+            state.presumed_cold_until = std::max(state.presumed_cold_until, now + cold_period);
+            state.presumed_by_loss_at = state.lost_at;
         }
         state.consecutive_failures = 0;
         state.lost_at = time_point{-1000000};
@@ -182,6 +183,10 @@
             state.avoid_until = time_point{};
             state.failure_rate = state.answered_failure_rate;
         }
+        if (state.presumed_by_loss_at >= since)
+        {
+            state.presumed_cold_until = time_point{};
+        }
     }
 }
 
--- a/endivestage/routing/endpoint_directory.hpp
+++ b/endivestage/routing/endpoint_directory.hpp
@@ -62,6 +62,7 @@
     endpoint_record record;
     std::uint64_t hash = 0;                 ///< Hash of the id, for rendezvous hashing.
     time_point cold_until;                  ///< In the past when the endpoint is warm.
+    time_point presumed_cold_until;         ///< The same, as it answered after several losses.
     time_point avoid_until;                 ///< Until then chosen only if no other is left.
     std::uint32_t consecutive_failures = 0; ///< Unreachable or broken since the last success.
     double failure_rate = 0.0;              ///< Moving average over recent outcomes, 0 to 1.
@@ -77,12 +78,13 @@
     double other_routers_in_flight = 0.0;
     /// This router's last unreachable or broken outcome; in the far past after a served one.
     time_point lost_at{-1000000};
-    std::uint32_t failing_routers = 0; ///< Routers that see it fail, this one included.
+    time_point presumed_by_loss_at{-1000000}; ///< Last loss behind \ref presumed_cold_until.
+    std::uint32_t failing_routers = 0;        ///< Routers that see it fail, this one included.
     /// Set when the record was removed after an outage of the table: until when it may be written
     /// again.
     std::optional<time_point> kept_until;
 
-    bool is_cold(time_point now) const { return now < cold_until; }
+    bool is_cold(time_point now) const { return now < cold_until || now < presumed_cold_until; }
 };
 
 /// \brief Time limits of an \ref endpoint_directory.
@@ -147,7 +149,8 @@
                      millis cold_period);
 
     /// \brief Forgets unreachable and broken outcomes that followed the last answer of an endpoint,
-    /// if the last one is not older than \p since: this router's own link was their cause.
+    /// if the last one is not older than \p since: this router's own link was their cause. An
+    /// endpoint that has answered after them no longer counts as cold for it.
     void forget_losses(time_point since);
 
     /// \brief Records an endpoint's own report of how many requests it has open.
--- a/tests/endpoint_directory_test.cpp
+++ b/tests/endpoint_directory_test.cpp
@@ -190,3 +190,22 @@
     directory.end_request(down, endpoint_outcome::served, {2400}, cold_period);
     REQUIRE(directory.find(down)->is_cold({2401}));
 }
+
+// Guards against endpoints that get a reduced share as cold ones after a cut during which their
+// connections lived on while new ones were refused.
+TEST_CASE("an endpoint that answers on an old connection during a cut does not count as cold")
+{
+    endpoint_directory directory;
+    directory.update(make_record("e1"), {0});
+    const endpoint_id id("e1");
+    directory.end_request(id, endpoint_outcome::served, {1000}, cold_period);
+    directory.end_request(id, endpoint_outcome::unreachable, {2000}, cold_period);
+    directory.end_request(id, endpoint_outcome::unreachable, {2100}, cold_period);
+    directory.end_request(id, endpoint_outcome::served, {2200}, cold_period);
+    directory.forget_losses({1900});
+    REQUIRE_FALSE(directory.find(id)->is_cold({2201}));
+    // What the endpoint says itself stays in force.
+    directory.record_cold_report(id, millis{500}, {2300});
+    directory.forget_losses({1900});
+    REQUIRE(directory.find(id)->is_cold({2301}));
+}
