Drop an endpoint's own handover mark from responses

What callers saw: nothing yet; found by a test. A request that was handed over and whose endpoint sends a field Endivestage-Handover-Answer would have run twice, since the first router takes the endpoint's value for a refusal. Cause: mark_response added its field beside one that the endpoint had sent, and take_mark reads the first one. Change: mark_response removes fields of that name first. Conclusion: only the router that took the request decides what its mark says.

--- a/endivestage/serving/handover_header.cpp
+++ b/endivestage/serving/handover_header.cpp
@@ -123,6 +123,9 @@
 
 void mark_response(http_response& response, std::optional<handover_refusal> refusal)
 {
+    // Endpoints may send any field.
+    std::erase_if(response.fields, [](const std::pair<std::string, std::string>& field)
+                  { return has_name(field, response_field); });
     response.fields.emplace_back(response_field, refusal ? to_string(*refusal) : taken);
 }
 
