Refuse a taken request as cut off only while it has not run

What callers saw: found by a test. A request that another router had handed over ran at an endpoint, which then broke the connection; the router lost its own links as well and marked its response as a refusal. The first router would offer the request to further routers, beyond its attempts, and in the end tell its caller that it had not run. Cause: hand_over marked the response before it looked at the executions. Change: the mark is set only if no execution was added at this router. Conclusion: a refusal between routers says that nothing has run here.

--- a/endivestage/serving/exchange.hpp
+++ b/endivestage/serving/exchange.hpp
@@ -177,10 +177,11 @@
     bool stopping_ = false;
     /// Set if another router has handed the request over, so that it goes no further.
     handover_writer* taken_from_ = nullptr;
-    bool via_router_ = false;            ///< The present response comes from another router.
-    bool handover_refused_ = false;      ///< No other router takes the request.
-    bool last_unreachable_ = false;      ///< The last attempt could not connect.
-    std::optional<time_point> heard_at_; ///< When the present attempt last received bytes.
+    std::uint32_t executions_before_ = 0; ///< Possible executions at that router.
+    bool via_router_ = false;             ///< The present response comes from another router.
+    bool handover_refused_ = false;       ///< No other router takes the request.
+    bool last_unreachable_ = false;       ///< The last attempt could not connect.
+    std::optional<time_point> heard_at_;  ///< When the present attempt last received bytes.
     attempt_history history_;
     attempt_conditions sent_conditions_; ///< Of the present attempt.
     time_point sent_at_;                 ///< When the present attempt was sent.
--- a/endivestage/serving/exchange_handover.cpp
+++ b/endivestage/serving/exchange_handover.cpp
@@ -41,6 +41,7 @@
     taken_from_ = &writer;
     history_.sends = info.sends;
     history_.possible_executions = info.possible_executions;
+    executions_before_ = info.possible_executions;
     if (info.last_event_id)
     {
         decoded_.last_event_id = info.last_event_id;
@@ -73,7 +74,10 @@
 {
     if (taken_from_ != nullptr)
     {
-        taken_from_->refuse(handover_refusal::cut_off);
+        if (history_.possible_executions == executions_before_)
+        {
+            taken_from_->refuse(handover_refusal::cut_off);
+        }
         co_await finish_without_router(false);
         co_return true;
     }
--- a/tests/daemon_handover_test.cpp
+++ b/tests/daemon_handover_test.cpp
@@ -5,6 +5,7 @@
 #include <endivestage/serving/handover_header.hpp>
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 
 using namespace endivestage;
 using namespace endivestage::test;
@@ -235,6 +236,41 @@
         });
 }
 
+// Guards against refusals that are untrue: the first router would hand the request on, or tell its
+// caller that it has not run.
+TEST_CASE("a request that ran before its router was cut off is not refused")
+{
+    handover_fleet f;
+    for (const char* id : {"e1", "e2", "e3", "e4", "e5", "e6"})
+    {
+        f.add_engine(id,
+                     [&f](const http_request& request)
+                     {
+                         asio::post(f.context,
+                                    [&f]
+                                    {
+                                        for (auto it = f.engines.begin(); it != f.engines.end();
+                                             ++it)
+                                        {
+                                            (*it)->crash();
+                                        }
+                                    });
+                         return hang(request);
+                     });
+    }
+    f.start_router();
+    f.run(
+        [&]() -> awaitable<void>
+        {
+            http_response response = co_await f.hand_over(make_handover("/i/", "ran"));
+            REQUIRE(f.count_received("ran") == 1);
+            REQUIRE_FALSE(contains(response.body, "\"not_run\""));
+            const handover_mark mark = serving::take_mark(response);
+            REQUIRE(mark.present);
+            REQUIRE_FALSE(mark.refused);
+        });
+}
+
 // Guards against a router that runs out of memory because all others hand their requests to it.
 TEST_CASE("a router takes a bounded number of requests from others")
 {
