Bound the rejections that routers cause at brittle endpoints

Cause: endpoints of a service may state in their answers (Server-Brittle: N) that they fail if they have to reject more than N requests in a second. The routers ignored it: each request that one endpoint rejected was sent to the next, so overload made the endpoints fail in turn, and callers lost what these were serving. Change: the adapter decodes the limit once. Each router keeps to a static share of it per endpoint: no more unanswered sends than that, and a pause of more than a second after a rejection. More sends go only where at least half of the slots are free. A rejected request goes to another brittle endpoint only into such slots; otherwise it is refused at once (503, not run, Retry-After). Routers announce a brittle service through the failure detector; the statement ends 8 s after the last answer. Nothing changes for services whose endpoints state no limit.

--- a/endivestage/routing.hpp
+++ b/endivestage/routing.hpp
@@ -9,6 +9,8 @@
 ///  - rank_endpoints (routing/endpoint_choice.hpp): order in which endpoints are tried
 ///  - decide_next_step, first_response_timeout (routing/attempt_policy.hpp): retry decisions
 ///  - repeat_budget, cold_send_share (routing/send_limits.hpp): one router's share of fleet limits
+///  - brittle_endpoints (routing/brittle_endpoints.hpp): endpoints that state a limit of rejections
+///  - rejection_limit (routing/rejection_limit.hpp): one router's share of that limit
 ///  - load_aggregator (routing/load_aggregator.hpp): open requests per engine over all routers
 ///  - prefix_directory (routing/prefix_directory.hpp): engines that have parts of prompts cached
 ///  - prompt_quarantine (routing/prompt_quarantine.hpp): parts of prompts that crash engines
@@ -24,6 +26,7 @@
 #pragma once
 
 #include <endivestage/routing/attempt_policy.hpp>
+#include <endivestage/routing/brittle_endpoints.hpp>
 #include <endivestage/routing/buffer_budget.hpp>
 #include <endivestage/routing/endpoint_choice.hpp>
 #include <endivestage/routing/endpoint_directory.hpp>
@@ -35,6 +38,7 @@
 #include <endivestage/routing/prefix_directory.hpp>
 #include <endivestage/routing/prompt_quarantine.hpp>
 #include <endivestage/routing/quarantine_records.hpp>
+#include <endivestage/routing/rejection_limit.hpp>
 #include <endivestage/routing/request_memory.hpp>
 #include <endivestage/routing/route_table.hpp>
 #include <endivestage/routing/send_limits.hpp>
--- a/endivestage/serving/exchange.cpp
+++ b/endivestage/serving/exchange.cpp
@@ -268,6 +268,11 @@
     has_alternative_ = ranked.size() > 1;
     for (const endpoint_state* endpoint : ranked)
     {
+        // A rejection that is repeated at the next brittle endpoint makes that one fail as well.
+        if (!state_.may_risk_rejection(*endpoint, rejected_by_brittle_))
+        {
+            continue;
+        }
         if (!endpoint->is_cold(now) || profile_ == nullptr ||
             profile_->cold_requests_per_s <= 0.0 ||
             state_.cold_limiter.try_acquire(endpoint->record.id, state_.cold_limit_for(*profile_),
@@ -382,10 +387,16 @@
         tried_.push_back(endpoint.id);
         last_endpoint_ = endpoint.id;
         record_conditions(*chosen);
+        brittle_send_.reset();
+        if (state_.brittle.limit(endpoint, state_.time.now()))
+        {
+            brittle_send_.emplace(state_.rejections, endpoint.id, state_.time.now());
+        }
         state_.endpoints.begin_request(endpoint.id);
         const open_work_count counted(state_.overload.service(service_), relative_work_,
                                       state_.time);
         const endpoint_outcome outcome = co_await attempt(endpoint);
+        brittle_send_.reset();
         record_version_outcome(endpoint, outcome);
         const millis cold_period = profile_ != nullptr ? profile_->cold_period : millis{0};
         if (caller_left_)
--- a/endivestage/serving/exchange.hpp
+++ b/endivestage/serving/exchange.hpp
@@ -141,6 +141,7 @@
     void record_unknown_load(std::size_t figures);
     void record_endpoint_state(const endpoint_record& endpoint, const response_info& info);
     void record_notices(const endpoint_record& endpoint, const response_info& info);
+    void record_rejection(const endpoint_record& endpoint, const response_info& info);
     void log_placement(const forwarding_info& info, millis max_wait) const;
     void log_too_large() const;
     void release_connection(const endpoint_record& endpoint);
@@ -191,6 +192,9 @@
     bool first_event_seen_ = false; ///< In the present attempt.
     bool has_alternative_ = false;  ///< Another endpoint could be tried after the present one.
     std::vector<endpoint_id> tried_;
+    /// The present attempt, if its endpoint is brittle.
+    std::optional<counted_send> brittle_send_;
+    bool rejected_by_brittle_ = false;
     rendezvous_pair rendezvous_pair_;
     /// Time until an endpoint returns, if all endpoints want no requests for a while.
     std::optional<millis> first_return_;
--- a/endivestage/serving/exchange_attempt.cpp
+++ b/endivestage/serving/exchange_attempt.cpp
@@ -188,6 +188,10 @@
     beyond_first_event_ = false;
     begin_measuring(endpoint);
     attempt_version_ = version_key(endpoint);
+    if (brittle_send_)
+    {
+        brittle_send_->record_sent(sent_at_);
+    }
     connection_->send(state_.codec.encode_request(request_, info), body_);
     const endpoint_outcome outcome = co_await read_response(endpoint, max_wait);
     heard_at_.reset();
@@ -411,6 +415,7 @@
     if (!info.misdirected)
     {
         record_notices(endpoint, info);
+        record_rejection(endpoint, info);
     }
 }
 
--- a/endivestage/serving/exchange_response.cpp
+++ b/endivestage/serving/exchange_response.cpp
@@ -53,6 +53,26 @@
                {"all_bytes", state_.response_memory.in_use()}});
 }
 
+void exchange::record_rejection(const endpoint_record& endpoint, const response_info& info)
+{
+    const time_point now = state_.time.now();
+    if (info.max_rejections_per_s || info.from_endpoint)
+    {
+        state_.record_rejection_limit(endpoint, info.max_rejections_per_s);
+    }
+    if (brittle_send_)
+    {
+        brittle_send_->record_answer();
+    }
+    const bool rejected = info.not_executed && !info.leaving;
+    if (rejected && state_.brittle.limit(endpoint, now))
+    {
+        rejected_by_brittle_ = true;
+        state_.rejections.record_rejection(endpoint.id, state_.random.next(), now);
+        state_.metrics.record_brittle_rejection();
+    }
+}
+
 awaitable<endpoint_outcome> exchange::forward_body()
 {
     const response_info& info = response_.info;
--- a/endivestage/serving/peer_service.hpp
+++ b/endivestage/serving/peer_service.hpp
@@ -104,6 +104,16 @@
     /// \returns Whether another router says that it is cut off from the endpoints.
     bool is_cut_off(const router_id& router) const;
 
+    /// \brief Tells the other routers that endpoints of a service are brittle.
+    /// \param per_second Rejections that an endpoint tolerates in a second.
+    void announce_brittle(const service_id& service, std::uint32_t per_second);
+
+    /// \brief Sets the callback for such statements of other routers.
+    void on_brittle(std::function<void(const service_id&, std::uint32_t)> callback)
+    {
+        brittle_callback_ = std::move(callback);
+    }
+
     /// \brief Sends a datagram that begins with \ref origin_tag.
     void send_origins(const daemon::network_address& router, std::string_view datagram);
 
@@ -140,6 +150,8 @@
     void execute(const membership_actions& actions);
     void refresh_candidates();
     void apply_announcement(const announcement& item);
+    void apply_reach(const announcement& item);
+    void apply_brittle(const announcement& item);
 
     boost::asio::io_context& context_;
     const clock& time_;
@@ -153,6 +165,7 @@
     std::map<router_id, known_router> routers_;
     fleet_reach fleet_reach_;
     std::uint64_t reach_statements_ = 0; ///< Made by this run.
+    std::function<void(const service_id&, std::uint32_t)> brittle_callback_;
     std::function<void()> change_callback_;
     std::function<void(const prefix_sighting&)> sighting_callback_;
     std::function<void(const group_sums&)> sums_callback_;
--- a/endivestage/serving/peer_service_rows.cpp
+++ b/endivestage/serving/peer_service_rows.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t rollout_header_bytes = 9;
 /// Prefix of the key of announcements whether a router is cut off; its id follows.
 constexpr std::string_view reach_key = "reach/";
+/// Prefix of the key of announcements that a service is brittle; its name follows.
+constexpr std::string_view brittle_key = "brittle/";
 
 } // namespace
 
@@ -71,12 +73,44 @@
     return view && fleet_reach_.is_cut_off(router, view->who.incarnation, time_.now());
 }
 
+void peer_service::announce_brittle(const service_id& service, std::uint32_t per_second)
+{
+    announcement item;
+    item.key = std::string(brittle_key) + service.str();
+    item.value = encode_rejection_limit(per_second);
+    const std::optional<announcement> latest = detector_.find_announcement(item.key);
+    item.version = latest ? latest->version + 1 : 1;
+    detector_.announce(std::move(item));
+}
+
 void peer_service::apply_announcement(const announcement& item)
 {
-    if (!item.key.starts_with(reach_key))
+    if (item.key.starts_with(reach_key))
     {
+        apply_reach(item);
+    }
+    else if (item.key.starts_with(brittle_key))
+    {
+        apply_brittle(item);
+    }
+}
+
+void peer_service::apply_brittle(const announcement& item)
+{
+    const std::optional<std::uint32_t> per_second = decode_rejection_limit(item.value);
+    if (!per_second)
+    {
+        log_event(log_level::warning, "brittle_unreadable", {{"key", item.key}});
         return;
     }
+    if (brittle_callback_)
+    {
+        brittle_callback_(service_id(item.key.substr(brittle_key.size())), *per_second);
+    }
+}
+
+void peer_service::apply_reach(const announcement& item)
+{
     const std::optional<reach_statement> statement = decode_reach(item.value);
     if (!statement)
     {
--- a/endivestage/serving/router_metrics.cpp
+++ b/endivestage/serving/router_metrics.cpp
@@ -59,6 +59,14 @@
         .observe(to_seconds(latency));
 }
 
+void router_metrics::record_brittle_rejection()
+{
+    registry_
+        .get_counter("endivestage_brittle_rejections_total",
+                     "Requests that were rejected by brittle endpoints.")
+        .add();
+}
+
 void router_metrics::record_unknown_load_report()
 {
     registry_
@@ -192,6 +200,9 @@
     set_gauge("endivestage_endpoint_notices",
               "Endpoints that leave or want no requests by their own answers.",
               static_cast<double>(values.notices));
+    set_gauge("endivestage_brittle_services",
+              "Services whose endpoints fail if they have to reject many requests.",
+              static_cast<double>(values.brittle_services));
     set_gauge("endivestage_failing_endpoints", "Endpoints that several routers see fail.",
               static_cast<double>(values.failing_endpoints));
     set_gauge("endivestage_response_bytes", "Bytes of answers that are being read.",
--- a/endivestage/serving/router_metrics.hpp
+++ b/endivestage/serving/router_metrics.hpp
@@ -27,6 +27,7 @@
     std::uint64_t store_restores = 0;  ///< Restores of the table service since start.
     std::size_t quarantined_parts = 0; ///< Parts of prompts that are kept from engines.
     std::size_t notices = 0; ///< Endpoints that said of themselves that they want no requests.
+    std::size_t brittle_services = 0;
     std::size_t failing_endpoints = 0;        ///< Endpoints that several routers see fail.
     std::size_t response_bytes = 0;           ///< Memory of answers that are being read.
     std::size_t request_bytes = 0;            ///< Memory of requests of callers.
@@ -54,6 +55,7 @@
     /// \brief Counts what an endpoint said of itself in an answer.
     /// \param kind "leaving", "hold_off" or "malformed".
     void record_notice(std::string_view kind);
+    void record_brittle_rejection();
     /// \brief Counts a stream that its caller takes up.
     /// \param step "known" or "only_version" if it goes on, "refused" otherwise.
     void record_take_up(std::string_view step);
--- a/endivestage/serving/router_state.hpp
+++ b/endivestage/serving/router_state.hpp
@@ -88,6 +88,7 @@
           self(std::move(name)),
           start_time(t.now()),
           cold_limiter(self),
+          rejections(self),
           start(t, {}),
           operations_lease(lease_ttl(b)),
           pool(t),
@@ -127,6 +128,10 @@
     endpoint_directory endpoints;
     std::map<service_id, repeat_budget> repeat_budgets;
     cold_send_share cold_limiter;
+    brittle_endpoints brittle;
+    rejection_limit rejections; ///< Share of the rejections that brittle endpoints tolerate.
+    /// Tells the other routers that a service is brittle; empty until they are known.
+    std::function<void(const service_id&, std::uint32_t)> announce_brittle;
     start_gate start;                 ///< Requests that wait for the tables.
     freshness_lease operations_lease; ///< Validity of the operator's table.
     std::vector<router_id> routers;   ///< Routers that may be running, this one included.
@@ -179,6 +184,14 @@
     /// \brief Records that an endpoint did not respond on an open connection.
     void record_lost_response(const endpoint_id& endpoint);
 
+    /// \brief Records what an endpoint's answer says of the rejections that it tolerates.
+    void record_rejection_limit(const endpoint_record& endpoint,
+                                std::optional<std::uint32_t> per_second);
+
+    /// \param only_free Whether the request may go to a slot that is known to be free only.
+    /// \returns Whether an endpoint may get a request now; true unless it is brittle.
+    bool may_risk_rejection(const endpoint_state& endpoint, bool only_free) const;
+
     /// \returns Whether requests are accepted and the operator's table is recent enough.
     bool is_ready() const
     {
--- a/endivestage/serving/server.cpp
+++ b/endivestage/serving/server.cpp
@@ -282,6 +282,19 @@
     origin_service_ =
         std::make_unique<origin_service>(context_, time_, state_.origins, *peer_service_);
     state_.origin_exchange = origin_service_.get();
+    state_.announce_brittle = [this](const service_id& service, std::uint32_t per_second)
+    {
+        peer_service_->announce_brittle(service, per_second);
+    };
+    peer_service_->on_brittle(
+        [this](const service_id& service, std::uint32_t per_second)
+        {
+            if (state_.brittle.record_announcement(service, per_second, time_.now()))
+            {
+                log_event(log_level::info, "service_brittle",
+                          {{"service", service}, {"max_rejections_per_s", per_second}});
+            }
+        });
     reach_service_ = std::make_unique<reach_service>(context_, state_, *peer_service_);
     reach_service_->on_cut_off(
         [this] { request_service_.leave_silent_connections(time_.now() - silent_period); });
--- a/endivestage/serving/server_maintenance.cpp
+++ b/endivestage/serving/server_maintenance.cpp
@@ -32,6 +32,7 @@
     gauges.endpoints = state_.endpoints.size();
     gauges.routers = state_.routers.size();
     gauges.notices = state_.notices.size();
+    gauges.brittle_services = state_.brittle.services(time_.now());
     gauges.failing_endpoints = state_.endpoints.fleet_failures(time_.now());
     gauges.response_bytes = state_.response_memory.in_use();
     gauges.request_bytes = state_.request_bytes->in_use();
@@ -129,6 +130,8 @@
         record_loop_delay(time_.now() - due);
         state_.pool.expire();
         state_.router_connections.expire();
+        state_.brittle.expire(time_.now());
+        state_.rejections.expire(time_.now());
         maintain_versions();
         apply_deferred_rows();
         daemon::flush_log();
--- a/endivestage/serving/wire_codec.hpp
+++ b/endivestage/serving/wire_codec.hpp
@@ -65,9 +65,12 @@
     bool leaving = false;               ///< The endpoint will stop soon.
     /// The endpoint refused the request and wants no further ones for this time.
     std::optional<millis> hold_off;
-    /// A field that would say either has a value that is not allowed. Such a value is ignored: the
-    /// endpoint's record still tells that it leaves, and a refusal without a time is not repeated
-    /// at the same endpoint. Of several allowed values the strictest one counts.
+    /// The endpoint fails if it has to reject more requests than this in a second.
+    std::optional<std::uint32_t> max_rejections_per_s;
+    /// A field that would say one of these has a value that is not allowed. Such a value is
+    /// ignored: the endpoint's record still tells that it leaves, a refusal without a time is not
+    /// repeated at the same endpoint, and other answers state the limit of rejections. Of several
+    /// allowed values the strictest one counts.
     bool malformed_notice = false;
 };
 
