Cut one router from all engines in the soak

Cause: the soak cut single links only; nothing played a router that loses all of its links to the engines while callers, the store and the others reach it. Change: event router_cut, silent or closed, for 2 to 9 s, one router at a time. The proxy before each engine knows a router's connections by the sockets of its process. Health checks are no requests of callers; they are reported as only_what_was_sent before the first fault, since nothing may be checked in calm. Health checks in calm are a fault that the check has found: one slow request that is given up at two endpoints in turn raises a doubt.

--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -35,7 +35,8 @@
     soak_event::store_loses_writes, soak_event::store_forgets,
     soak_event::store_link,         soak_event::engine_link,
     soak_event::engine_crash,       soak_event::engine_connections_silent,
-    soak_event::engine_answers,     soak_event::garbled_record};
+    soak_event::engine_answers,     soak_event::garbled_record,
+    soak_event::router_cut};
 
 } // namespace
 
@@ -77,6 +78,8 @@
         return "store_link";
     case soak_event::engine_link:
         return "engine_link";
+    case soak_event::router_cut:
+        return "router_cut";
     case soak_event::engine_connections_silent:
         return "engine_connections_silent";
     case soak_event::engine_crash:
@@ -285,6 +288,24 @@
     end_fault();
 }
 
+awaitable<void> event_injector::cut_router()
+{
+    if (fleet_.has_router_cut())
+    {
+        co_return;
+    }
+    soak_router& router = random_router();
+    const link_fault fault = fleet_.random.below(2) == 0 ? link_fault::silent : link_fault::refuse;
+    const millis time = random_duration(2000, 9000);
+    log("router_cut", "router=" + router.name + " fault=" + std::string(standin::to_string(fault)) +
+                          " for_ms=" + std::to_string(time.count));
+    begin_fault();
+    fleet_.set_router_cut(router, fault);
+    co_await daemon::sleep_for(time);
+    fleet_.set_router_cut(router, link_fault::none);
+    end_fault();
+}
+
 awaitable<void> event_injector::inject_response_fault()
 {
     soak_engine* engine = random_engine();
@@ -392,6 +413,9 @@
             engine->link->silence_connections();
         }
         break;
+    case soak_event::router_cut:
+        co_await cut_router();
+        break;
     case soak_event::engine_crash:
         co_await crash_engine();
         break;
--- a/soak/faults.hpp
+++ b/soak/faults.hpp
@@ -33,6 +33,7 @@
     store_forgets,
     store_link,                ///< A \ref standin::link_fault between one router and the store.
     engine_link,               ///< A \ref standin::link_fault between the routers and one engine.
+    router_cut,                ///< One router loses its links to all engines.
     engine_connections_silent, ///< Open connections to engines stay silent until they end.
     engine_crash,
     engine_answers, ///< One engine shows an \ref engine_behavior other than normal.
@@ -75,6 +76,7 @@
     daemon::awaitable<void> zone_out();
     daemon::awaitable<void> inject_store_fault(soak_event event);
     daemon::awaitable<void> inject_link_fault(standin::fault_proxy& link, std::string_view name);
+    daemon::awaitable<void> cut_router();
     daemon::awaitable<void> inject_response_fault();
     void withdraw_key();
     void begin_fault();
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -24,6 +24,7 @@
 constexpr std::uint16_t peer_port = 7340;
 constexpr std::array<const char*, 3> zones{"zone-a", "zone-b", "zone-c"};
 constexpr std::array<const char*, 2> versions{"v1", "v2"};
+constexpr const char* health_path = "/healthz";
 constexpr millis cold_period{3000};
 constexpr int event_count_limit = 12; // Exclusive.
 
@@ -138,7 +139,7 @@
         {"version", configuration_version_},
         {"routes", std::move(routes)},
         {"services", json::array{json::object{{"name", "pool"},
-                                              {"health_path", "/healthz"},
+                                              {"health_path", health_path},
                                               {"max_conns", 100},
                                               {"cold_start_s", 3.0},
                                               {"cold_per_s", 8.0}}}},
@@ -176,6 +177,7 @@
     {
         return false;
     }
+    apply_router_cut(engine);
     engine.cold_until = cold ? now() + cold_period : now();
     write_engine_record(engine);
     return true;
@@ -211,6 +213,21 @@
     engine.link->set_fault(standin::link_fault::refuse);
 }
 
+void soak_fleet::set_router_cut(soak_router& router, standin::link_fault fault)
+{
+    cut_router_ = &router;
+    cut_ = fault;
+    for (const std::unique_ptr<soak_engine>& engine : engines)
+    {
+        apply_router_cut(*engine);
+    }
+}
+
+void soak_fleet::apply_router_cut(soak_engine& engine)
+{
+    engine.link->set_client_fault([this] { return cut_router_->process->connections(); }, cut_);
+}
+
 bool soak_fleet::add_router(std::size_t number)
 {
     routers.push_back(std::make_unique<soak_router>());
@@ -313,7 +330,14 @@
             standin::make_response(request, 503, {}, "X-Not-Executed: 1\r\n" + notice + pause));
         return reply;
     }
-    checker.record_execution(id, engine.id, engine.zone, now());
+    if (id.empty() && request.method == "GET" && request.target == health_path)
+    {
+        checker.record_health_check(engine.id);
+    }
+    else
+    {
+        checker.record_execution(id, engine.id, engine.zone, now());
+    }
     if (engine.behavior == engine_behavior::reset)
     {
         reply.final_action = engine_reply::connection_action::reset;
--- a/soak/fleet.hpp
+++ b/soak/fleet.hpp
@@ -96,6 +96,12 @@
     /// \brief Erases the record of an engine and closes its connections.
     void remove(soak_engine& engine);
 
+    /// \brief Cuts the links of one router to all engines, also to those that are added later.
+    /// \param fault none ends the cut.
+    void set_router_cut(soak_router& router, standin::link_fault fault);
+
+    bool has_router_cut() const { return cut_ != standin::link_fault::none; }
+
     /// \brief Writes the record of an engine to the store, as an engine does periodically.
     void write_engine_record(const soak_engine& engine);
 
@@ -136,6 +142,7 @@
 
 private:
     bool add_router(std::size_t number);
+    void apply_router_cut(soak_engine& engine);
     standin::engine_reply respond(soak_engine& engine, const daemon::http_request& request);
 
     boost::asio::io_context& context_;
@@ -144,6 +151,8 @@
     std::uint64_t configuration_version_ = 1;
     millis idle_timeout_{0};
     std::size_t created_engines_ = 0;
+    soak_router* cut_router_ = nullptr;
+    standin::link_fault cut_ = standin::link_fault::none;
 };
 
 } // namespace endivestage::soak
--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -64,6 +64,14 @@
     }
 }
 
+void promise_checker::record_health_check(const std::string& engine)
+{
+    if (last_disturbance_ < time_point{0})
+    {
+        report("only_what_was_sent", "-", "health check of " + engine + " before the first fault");
+    }
+}
+
 void promise_checker::record_execution(const std::string& request, const std::string& engine,
                                        const std::string& zone, time_point now)
 {
--- a/soak/router_process.cpp
+++ b/soak/router_process.cpp
@@ -3,7 +3,10 @@
 #include <array>
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
+#include <fstream>
 #include <spawn.h>
+#include <sstream>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <utility>
@@ -67,4 +70,44 @@
     return pid_ > 0;
 }
 
+std::set<std::pair<std::uint16_t, std::uint16_t>> router_process::connections() const
+{
+    namespace fs = std::filesystem;
+    std::set<std::pair<std::uint16_t, std::uint16_t>> found;
+    std::set<std::string> sockets;
+    std::error_code ec;
+    fs::directory_iterator it("/proc/" + std::to_string(pid_) + "/fd", ec);
+    for (; !ec && it != fs::directory_iterator(); it.increment(ec))
+    {
+        // A descriptor that was closed meanwhile has no target.
+        std::error_code closed;
+        sockets.insert(fs::read_symlink(it->path(), closed).string());
+    }
+    std::ifstream table("/proc/net/tcp");
+    std::string line;
+    std::getline(table, line);
+    while (std::getline(table, line))
+    {
+        std::istringstream fields(line);
+        std::string number, local, remote, skipped, inode;
+        fields >> number >> local >> remote;
+        for (int n = 0; n < 6; ++n)
+        {
+            fields >> skipped;
+        }
+        fields >> inode;
+        if (sockets.contains("socket:[" + inode + "]"))
+        {
+            const auto port = [](const std::string& address)
+            {
+                constexpr int hexadecimal = 16;
+                return static_cast<std::uint16_t>(
+                    std::stoul(address.substr(address.find(':') + 1), nullptr, hexadecimal));
+            };
+            found.emplace(port(local), port(remote));
+        }
+    }
+    return found;
+}
+
 } // namespace endivestage::soak
--- a/soak/router_process.hpp
+++ b/soak/router_process.hpp
@@ -2,8 +2,11 @@
 /// \brief A router in its own process that is controlled by signals.
 #pragma once
 
+#include <cstdint>
+#include <set>
 #include <string>
 #include <sys/types.h>
+#include <utility>
 
 namespace endivestage::soak
 {
@@ -29,6 +32,9 @@
     /// \returns Whether the process is running.
     bool is_running();
 
+    /// \returns The local and the remote port of each IPv4 TCP connection of the process.
+    std::set<std::pair<std::uint16_t, std::uint16_t>> connections() const;
+
     /// \returns Status of the last exit as reported by waitpid.
     int wait_status() const { return wait_status_; }
 
--- a/standin/fault_proxy.hpp
+++ b/standin/fault_proxy.hpp
@@ -8,9 +8,11 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string_view>
+#include <utility>
 
 namespace endivestage::standin
 {
@@ -28,6 +30,9 @@
 /// \returns The snake_case name of a fault.
 std::string_view to_string(link_fault fault);
 
+/// \returns The local and the remote port of each connection of a client.
+using client_connections = std::function<std::set<std::pair<std::uint16_t, std::uint16_t>>()>;
+
 /// \brief Forwards TCP connections to one server.
 ///
 /// A connection that was silenced stays silent after the fault ends, as when a middlebox between
@@ -47,6 +52,11 @@
     /// \param delay For \ref link_fault::delayed: time before each read block is forwarded.
     void set_fault(link_fault fault, millis delay = millis{0});
 
+    /// \brief Applies a fault to the open and new connections of one client, besides that of
+    /// \ref set_fault, until the next call.
+    /// \param fault none, refuse or silent.
+    void set_client_fault(client_connections client, link_fault fault);
+
     /// \brief Drops all further bytes on the open connections; new connections are not affected.
     void silence_connections();
 
@@ -63,9 +73,12 @@
         std::set<std::shared_ptr<proxied_connection>> connections;
         link_fault fault = link_fault::none;
         millis delay{0};
+        client_connections client;
+        link_fault client_fault = link_fault::none;
     };
 
     daemon::awaitable<void> accept();
+    bool is_of_client(const boost::asio::ip::tcp::socket& socket) const;
     static daemon::awaitable<void> serve(std::shared_ptr<shared_state> state,
                                          std::shared_ptr<proxied_connection> connection,
                                          daemon::network_address target);
--- a/tests/soak_promises_test.cpp
+++ b/tests/soak_promises_test.cpp
@@ -149,3 +149,15 @@
     checker.record_outcome("f", caller_outcome::no_answer, false, false, {34000});
     REQUIRE(checker.violations().empty());
 }
+
+// Guards against routers that check engines in calm, when every check takes a slot of one.
+TEST_CASE("a health check is reported only before the first fault")
+{
+    promise_checker checker;
+    checker.record_health_check("e1");
+    REQUIRE(checker.violations().size() == 1);
+    REQUIRE(checker.violations().front().promise == "only_what_was_sent");
+    checker.record_disturbance({10000});
+    checker.record_health_check("e1");
+    REQUIRE(checker.violations().size() == 1);
+}
