Count one slow request as one endpoint without an answer

What callers saw: endpoints got health checks, each of which takes a slot, in a fleet without any fault. Found by the soak. Cause: a request that may run again is given up at a slow endpoint and sent to a second one. Where it was slow there too, two endpoints counted as silent in a row, and the router doubted its links, though the request was the common cause. Change: a request adds one endpoint that did not answer in time; connections that end are counted as before. Conclusion: a cut still shows with the second request that meets it.

--- a/endivestage/serving/exchange.hpp
+++ b/endivestage/serving/exchange.hpp
@@ -181,6 +181,7 @@
     std::uint32_t executions_before_ = 0; ///< Possible executions at that router.
     bool via_router_ = false;             ///< The present response comes from another router.
     bool handover_refused_ = false;       ///< No other router takes the request.
+    bool response_lost_ = false;          ///< An endpoint did not answer this request in time.
     bool last_unreachable_ = false;       ///< The last attempt could not connect.
     std::optional<time_point> heard_at_;  ///< When the present attempt last received bytes.
     attempt_history history_;
--- a/endivestage/serving/exchange_attempt.cpp
+++ b/endivestage/serving/exchange_attempt.cpp
@@ -203,9 +203,11 @@
             {
                 state_.record_connection(endpoint.id, connection_result::reset);
             }
-            else
+            else if (!response_lost_ || !measured_.waited_out)
             {
+                // A request that is slow at several endpoints says nothing about the link.
                 state_.record_lost_response(endpoint.id);
+                response_lost_ = true;
             }
         }
         record_missing_first_event(max_wait);
