Take a lost response as evidence only if nothing has responded since it was sent

Cause: a request that is given up says only that nothing came from its endpoint since it was sent; others may have answered meanwhile. Change: a lost response counts if no endpoint has responded since its request was sent. Conclusion: silence of some endpoints beside answers of others is no doubt.

--- a/endivestage/reachability/endpoint_reach.cpp
+++ b/endivestage/reachability/endpoint_reach.cpp
@@ -141,8 +141,13 @@
     }
 }
 
-void endpoint_reach::record_lost_response(const endpoint_id& endpoint, time_point now)
+void endpoint_reach::record_lost_response(const endpoint_id& endpoint, time_point sent_at,
+                                          time_point now)
 {
+    if (responded_at_ >= sent_at)
+    {
+        return;
+    }
     add_loss(silent_, endpoint, now);
 }
 
--- a/endivestage/reachability/endpoint_reach.hpp
+++ b/endivestage/reachability/endpoint_reach.hpp
@@ -84,8 +84,9 @@
     /// \brief Records a response on any connection.
     void record_response(time_point now);
 
-    /// \brief Records that an endpoint did not respond on an open connection, or broke it.
-    void record_lost_response(const endpoint_id& endpoint, time_point now);
+    /// \brief Records that an endpoint did not respond on an open connection, or broke it. No
+    /// evidence if any endpoint has responded since the request was sent.
+    void record_lost_response(const endpoint_id& endpoint, time_point sent_at, time_point now);
 
     /// \brief Chooses endpoints to be checked now. The result of each check must be recorded: a
     /// connection that failed, one that was accepted, or, where \ref checks_need_response, whether
--- a/endivestage/serving/exchange_attempt.cpp
+++ b/endivestage/serving/exchange_attempt.cpp
@@ -206,7 +206,7 @@
             else if (!response_lost_ || !measured_.waited_out)
             {
                 // A request that is slow at several endpoints says nothing about the link.
-                state_.record_lost_response(endpoint.id);
+                state_.record_lost_response(endpoint.id, sent_at_);
                 response_lost_ = true;
             }
         }
--- a/endivestage/serving/reach_service.cpp
+++ b/endivestage/serving/reach_service.cpp
@@ -146,11 +146,12 @@
     http_request request;
     request.target = service != nullptr ? service->health_path : "/";
     request.fields.emplace_back("Host", daemon::to_string({endpoint.host, endpoint.port}));
+    const time_point sent_at = state_.time.now();
     connection->send(std::move(request));
     const result<http_response> head = co_await connection->read_head(response_timeout);
     if (!head)
     {
-        state_.record_lost_response(endpoint.id);
+        state_.record_lost_response(endpoint.id, sent_at);
         co_return false;
     }
     // Whatever it says, it answers.
--- a/endivestage/serving/router_state.cpp
+++ b/endivestage/serving/router_state.cpp
@@ -33,7 +33,7 @@
     }
 }
 
-void router_state::record_lost_response(const endpoint_id& endpoint)
+void router_state::record_lost_response(const endpoint_id& endpoint, time_point sent_at)
 {
     const time_point now = time.now();
     const endpoint_state* silent = endpoints.find(endpoint);
@@ -41,7 +41,7 @@
     {
         return;
     }
-    reach.record_lost_response(endpoint, now);
+    reach.record_lost_response(endpoint, sent_at, now);
     if (reach.state(now) != reach_state::reached && on_doubt)
     {
         on_doubt();
--- a/endivestage/serving/router_state.hpp
+++ b/endivestage/serving/router_state.hpp
@@ -181,8 +181,8 @@
     /// \brief Records what became of a new connection to an endpoint.
     void record_connection(const endpoint_id& endpoint, connection_result outcome);
 
-    /// \brief Records that an endpoint did not respond on an open connection.
-    void record_lost_response(const endpoint_id& endpoint);
+    /// \brief Records that an endpoint did not respond to a request on an open connection.
+    void record_lost_response(const endpoint_id& endpoint, time_point sent_at);
 
     /// \brief Records what an endpoint's answer says of the rejections that it tolerates.
     void record_rejection_limit(const endpoint_record& endpoint,
--- a/tests/endpoint_reach_test.cpp
+++ b/tests/endpoint_reach_test.cpp
@@ -96,6 +96,7 @@
     struct attempt
     {
         endpoint_id endpoint;
+        time_point sent_at;
         time_point due;
         bool reused = false;
         bool check = false;
@@ -106,7 +107,7 @@
         const bool fails_at_once = state == link_state::refused || state == link_state::lives_on ||
                                    state == link_state::reset;
         const millis wait = state == link_state::sound || fails_at_once ? millis{5} : check_time;
-        pending_.push_back({endpoint, now + wait, reused, check});
+        pending_.push_back({endpoint, now, now + wait, reused, check});
     }
 
     void finish(const attempt& done)
@@ -137,7 +138,7 @@
         }
         else if (!answers && !ignored)
         {
-            reach.record_lost_response(done.endpoint, now);
+            reach.record_lost_response(done.endpoint, done.sent_at, now);
         }
         if (done.check)
         {
@@ -252,6 +253,23 @@
         });
 }
 
+// Guards against health checks in calm: slow requests that are given up together are no evidence
+// while other requests are answered.
+TEST_CASE("a response after a request was sent outweighs that it was given up")
+{
+    endpoint_reach reach;
+    seeded_random random(5);
+    const std::vector<endpoint_id> endpoints = make_endpoints(8);
+    reach.record_response(time_point{1100});
+    reach.record_lost_response(endpoints[0], time_point{1000}, time_point{1333});
+    reach.record_lost_response(endpoints[1], time_point{1070}, time_point{1403});
+    REQUIRE(reach.state(time_point{1403}) == reach_state::reached);
+    REQUIRE(reach.choose_checks(endpoints, random, time_point{1403}).empty());
+    reach.record_lost_response(endpoints[2], time_point{1200}, time_point{1533});
+    reach.record_lost_response(endpoints[3], time_point{1270}, time_point{1603});
+    REQUIRE(reach.state(time_point{1603}) == reach_state::doubted);
+}
+
 // Guards against a fleet with one endpoint whose router refuses requests without trying it.
 TEST_CASE("a router with one endpoint never counts as cut off")
 {
