Test with router processes that a configuration is in force after a restore

No test ran several router processes beside a store that goes back. Change: tests/config_restore.py runs six routers in five zones. Each version of the configuration has a service of its own, so that an answer names the version in force.

--- a/cmake/process_tests.cmake
+++ b/cmake/process_tests.cmake
@@ -38,6 +38,17 @@
            COMMAND "${CMAKE_SOURCE_DIR}/tests/stranded.py" "${CMAKE_BINARY_DIR}/endivestage" ${case})
   list(APPEND process_tests stranded_${case})
 endforeach()
+# One test per way in which the store goes back or misleads; see the script.
+foreach(case behind given_again lost_change repeated changed_meanwhile killed invalid lost_call
+              discarded_history stale_reads header_at_times)
+  add_test(NAME config_restore_${case}
+           COMMAND "${CMAKE_SOURCE_DIR}/tests/config_restore.py" "${CMAKE_BINARY_DIR}/endivestage" ${case})
+  list(APPEND process_tests config_restore_${case})
+endforeach()
+# Listed in KNOWN-RED.txt.
+add_test(NAME config_restore_no_header
+         COMMAND "${CMAKE_SOURCE_DIR}/tests/config_restore.py" "${CMAKE_BINARY_DIR}/endivestage" no_header --known-red)
+list(APPEND process_tests config_restore_no_header)
 set_tests_properties(${process_tests} PROPERTIES
   ENVIRONMENT "BUILD=${CMAKE_BINARY_DIR};ENDIVESTAGE_NET=${PROCESS_TEST_NET}"
   RESOURCE_LOCK loopback_fleet RUN_SERIAL TRUE TIMEOUT 300)
