--- a/tests/config_restore.py
+++ b/tests/config_restore.py
@@ -153,7 +153,8 @@
         unversioned = {key: value for key, value in good.items() if key != "version"}
         later = dict(good, version=self.config_version + 100)
         cut_off = standins.json.dumps(later).encode()[:-20]
-        self.store.put("op", "config", (dict(good, version="many"), unversioned, cut_off, b"[]", b"")[number])
+        self.store.put("op", "config", (dict(good, version="many"), unversioned, cut_off, b"[]", b"",
+                                        dict(later, routes="none"))[number])
 
     async def ask(self, router, path):
         attempt = self.attempt_id()
@@ -282,7 +283,7 @@
     await asyncio.sleep(1.0)
     if case == "invalid":
         valid = store.rows[("op", "", "config")][1]
-        for n in range(5):
+        for n in range(6):
             world.write_invalid(n)
             await asyncio.sleep(0.5)
             store.put("op", "config", valid)
