Do not link a constant from a class comment

Cause: doxygen cannot resolve the reference, and tests/documentation.sh failed. Change: the comment names the constant. Before: documentation.sh reports brittle_endpoints.hpp:26.

--- a/endivestage/routing/brittle_endpoints.hpp
+++ b/endivestage/routing/brittle_endpoints.hpp
@@ -23,7 +23,7 @@
 /// \brief Rejection limits that endpoints state in their answers, and those of their services that
 /// other routers announce.
 ///
-/// A statement ends \ref ttl after the last answer or announcement that repeated it. An answer
+/// A statement ends `ttl` after the last answer or announcement that repeated it. An answer
 /// without one ends it for its endpoint at once. Not thread-safe.
 class brittle_endpoints
 {
