--- a/endivestage/reachability/endpoint_reach.hpp
+++ b/endivestage/reachability/endpoint_reach.hpp
@@ -48,7 +48,7 @@
     /// Distinct endpoints in a row that must accept a connection before a cut counts as over.
     std::size_t returning_endpoints = 2;
     /// A cut is announced as over after this time without another one. Doubles with each cut that
-    /// follows within \ref calm_period, so that a link that flaps does not move callers each time.
+    /// follows within calm_period, so that a link that flaps does not move callers each time.
     millis min_stable_period{1000};
     millis max_stable_period{8000};
     millis calm_period{30000};
