Leave endpoints that have left out of the evidence of a cut

What callers saw: found by daemon_prompt_quarantine_test: three engines crashed on one part of a prompt within 0.2 s, and the router took it for a cut of its own, reported none of the crashes, and let the part reach further engines (7 and 6 crashes, 5 wanted); another request got 503 instead of 502. Cause: losses of endpoints whose records were gone counted beside the number of those that are there; without another endpoint to compare with, a router that counted as cut off reported no crash; a reset of an exchange asked for health checks. Before: daemon_prompt_quarantine_test, 3 of 7 cases failed. After: 7 cases, 266 assertions pass; endpoint_reach_test, 13 cases. Conclusion: in a pool as small as the loss, a crash and a cut look alike; the crash is believed.

--- a/endivestage/reachability/endpoint_reach.cpp
+++ b/endivestage/reachability/endpoint_reach.cpp
@@ -168,6 +168,17 @@
                                                        random_source& random, time_point now)
 {
     known_endpoints_ = candidates.size();
+    if (!failed_.empty() || !silent_.empty())
+    {
+        // Endpoints that have left, or that others report meanwhile, are no evidence.
+        const std::set<endpoint_id> known(candidates.begin(), candidates.end());
+        const auto has_left = [&](const std::pair<const endpoint_id, time_point>& loss)
+        {
+            return !known.contains(loss.first);
+        };
+        std::erase_if(failed_, has_left);
+        std::erase_if(silent_, has_left);
+    }
     const reach_state present = state(now);
     std::vector<endpoint_id> chosen;
     if (present == reach_state::reached)
--- a/endivestage/serving/crash_report.cpp
+++ b/endivestage/serving/crash_report.cpp
@@ -48,7 +48,7 @@
     }
     if (others.empty())
     {
-        co_return !state.reach.cut_off_since(); // Nothing to compare with.
+        co_return true; // Nothing to compare with.
     }
     for (std::size_t n = 0; n < max_other_endpoints && !others.empty(); ++n)
     {
--- a/endivestage/serving/exchange_attempt.cpp
+++ b/endivestage/serving/exchange_attempt.cpp
@@ -122,7 +122,7 @@
         {
             if (!connection_reused_ && !measured_.waited_out)
             {
-                state_.record_connection(endpoint.id, connection_result::reset);
+                state_.record_connection(endpoint.id, connection_result::failed);
             }
             else if (!response_lost_ || !measured_.waited_out)
             {
--- a/tests/endpoint_reach_test.cpp
+++ b/tests/endpoint_reach_test.cpp
@@ -221,6 +221,23 @@
         });
 }
 
+// Guards against engines that crash one after the other and are replaced, which passed for a cut:
+// those whose records are gone are no evidence.
+TEST_CASE("endpoints that have left are no evidence of a cut")
+{
+    endpoint_reach reach;
+    seeded_random random(5);
+    const std::vector<endpoint_id> left = make_endpoints(3);
+    const std::vector<endpoint_id> present{endpoint_id("x"), endpoint_id("y"), endpoint_id("z")};
+    for (const endpoint_id& id : left)
+    {
+        reach.record_failed_connection(id, time_point{1000});
+        reach.choose_checks(present, random, time_point{1010});
+    }
+    REQUIRE(reach.state(time_point{1020}) == reach_state::reached);
+    REQUIRE_FALSE(reach.cut_off_since());
+}
+
 // Guards against a cut that is concluded from the number of endpoints at the last doubt.
 TEST_CASE("two lost endpoints of many are no cut, whatever was known before")
 {
